--- a/daemons/glade-agent.cpp
+++ b/daemons/glade-agent.cpp
@@ -1,3 +1,5 @@
+#include "adapter.hpp"
+
 #include <bergamotglade/detail/daemon/daemon.hpp>
 
 #include <gflags/gflags.h>
@@ -16,5 +18,5 @@
         std::cerr << "usage: glade-agent --settings FILE.yaml\n";
         return static_cast<int>(ExitCode::Usage);
     }
-    return static_cast<int>(runAgent(FLAGS_settings));
+    return static_cast<int>(runAgent(FLAGS_settings, platform::adapter()));
 }
--- a/include/bergamotglade/detail/admission/load_board.hpp
+++ b/include/bergamotglade/detail/admission/load_board.hpp
@@ -57,6 +57,10 @@
     clearlyBetter(const LoadEstimate &own, Instant now,
                   const std::function<bool(const Endpoint &)> &eligible) const;
 
+    /// @brief What is known of a peer's load; an idle one of the usual speed where nothing is.
+    [[nodiscard]] LoadEstimate estimate(const Endpoint &peer, Instant now) const;
+    /// @brief Age of the peer's last report; zero where there is none.
+    [[nodiscard]] Millis ageOf(const Endpoint &peer, Instant now) const;
     /// @brief Whether the peer reported lately.
     [[nodiscard]] bool isFresh(const Endpoint &peer, Instant now) const;
     /// @brief Names the peers that report here every time, so that their silence means something.
@@ -85,6 +89,7 @@
     };
 
     [[nodiscard]] LoadEstimate estimateOf(const Peer &peer, double usualTimeMs) const;
+    [[nodiscard]] double usualTimeMs(Instant now) const;
 
     PlacementSettings m_settings;
     Random m_random;
--- a/include/bergamotglade/detail/config/store.hpp
+++ b/include/bergamotglade/detail/config/store.hpp
@@ -5,6 +5,7 @@
 #include <bergamotglade/detail/config/view.hpp>
 #include <bergamotglade/detail/core/mechanisms.hpp>
 
+#include <functional>
 #include <map>
 
 namespace bergamotglade {
@@ -19,6 +20,8 @@
     Revision revision;
     std::string text;
     bool removed = false;
+    /// Removed by expiry around an outage of the platform: it may come back at once.
+    bool lapsed = false;
 };
 
 /// All that changed after `since`, complete up to `upTo`.
@@ -27,8 +30,16 @@
     Revision since;
     Revision upTo;
     std::vector<SectionChange> changes;
+    /// Lists every section that exists: what it lacks has been removed.
+    bool snapshot = false;
+    /// The platform was away shortly before: what it removed may only have expired.
+    bool lapses = false;
 };
 
+/// Reads a section in place of the document's own reader and applies it.
+/// @return findings; an error among them makes the section count as removed
+using SectionTaker = std::function<Findings(const SectionChange &)>;
+
 /// Counts of what the store did.
 struct StoreCounters
 {
@@ -42,8 +53,10 @@
 class ConfigStore
 {
 public:
-    explicit ConfigStore(Mechanisms mechanisms = {})
+    /// @param taker reads the sections of another form of document; none for the YAML form
+    explicit ConfigStore(Mechanisms mechanisms = {}, SectionTaker taker = {})
         : m_mechanisms(mechanisms)
+        , m_taker(std::move(taker))
     { }
 
     /// @brief Takes what is newer than what is held.
@@ -73,18 +86,22 @@
         Revision seen;
         Revision accepted;
         bool removed = false;
+        bool lapsed = false;
         std::string text;
         std::optional<Section> section;
         Findings findings;
     };
 
     bool takeOne(const SectionChange &change);
+    bool takeAbsent(const ChangeBatch &batch);
+    bool takeForeign(const SectionChange &change, Record &record);
     bool takeRoot(const SectionChange &change, Record &record);
     bool takeSection(const SectionChange &change, Record &record);
     [[nodiscard]] std::optional<std::size_t> orderOf(const SectionName &name) const;
     void rebuildView();
 
     Mechanisms m_mechanisms;
+    SectionTaker m_taker;
     std::map<SectionName, Record> m_records;
     Root m_root;
     View m_view;
--- a/include/bergamotglade/detail/core/clock.hpp
+++ b/include/bergamotglade/detail/core/clock.hpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <cstdint>
 
+#include <ctime>
+
 namespace bergamotglade {
 
 /// A steady clock in milliseconds. Satisfies the standard Clock requirements.
@@ -17,12 +19,15 @@
     static constexpr bool is_steady = true;
 
     /// @brief The present instant. Only adapters call this; decision code is handed the time.
-    /// @return milliseconds since an arbitrary start
+    /// @return milliseconds since an arbitrary start, time in suspension included, so that a
+    /// machine that slept notices
     /// @exceptionsafety no-throw
     static time_point now() noexcept
     {
+        std::timespec since {};
+        clock_gettime(CLOCK_BOOTTIME, &since);
         return time_point(std::chrono::duration_cast<duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+            std::chrono::seconds(since.tv_sec) + std::chrono::nanoseconds(since.tv_nsec)));
     }
 };
 
--- a/include/bergamotglade/detail/daemon/control_plane.hpp
+++ b/include/bergamotglade/detail/daemon/control_plane.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <bergamotglade/detail/daemon/metrics.hpp>
+#include <bergamotglade/detail/daemon/platform_adapter.hpp>
 #include <bergamotglade/detail/daemon/settings.hpp>
 #include <bergamotglade/detail/daemon/supervisor.hpp>
 #include <bergamotglade/detail/net/datagram_codec.hpp>
@@ -33,6 +34,14 @@
     /// Adds the daemon's own part to its status.
     std::function<void(nlohmann::json &)> addStatus;
     std::function<void()> onChange;
+    /// Reads the configuration through an adapter; none speaks the product's own interface.
+    ConfigurationSource source;
+    /// Reads sections of another form of document; none for the YAML form.
+    SectionTaker takeSection;
+    /// Where agents listen for control; none for those that the YAML document names.
+    std::function<std::vector<Endpoint>()> agents;
+    /// Changes the pace of dissemination before it starts.
+    std::function<void(DisseminationSettings &)> tune;
 };
 
 /// Owns the sockets and feeds Dissemination.
@@ -68,6 +77,7 @@
     Result<void> bind();
     void makeDissemination(Random random);
     void addMetrics();
+    void logFindings();
     void onBytes(const Endpoint &from, std::string_view bytes);
     void onRequest(const HttpRequest &request, const HttpResponder &respond);
     void serveChanges(const HttpRequest &request, const HttpResponder &respond);
@@ -75,6 +85,7 @@
     [[nodiscard]] std::string status();
     void fetchFromPeer(const Endpoint &peer, Revision since);
     void readPlatform(Revision since, bool watch);
+    void onPlatform(Result<ChangeBatch> batch);
     void readVmList();
     [[nodiscard]] bool isCut(const Endpoint &peer) const { return m_cut.contains(peer); }
 
@@ -88,6 +99,8 @@
     Metrics m_metrics;
     NetCounters m_counters;
     Endpoint m_local;
+    bool m_platformUp = true;
+    std::set<std::string> m_loggedFindings;
     std::set<Endpoint> m_cut; ///< fault injection: peers that cannot be reached
 };
 
--- a/include/bergamotglade/detail/daemon/daemon.hpp
+++ b/include/bergamotglade/detail/daemon/daemon.hpp
@@ -2,6 +2,8 @@
 /// Entry points of the daemons' programs.
 #pragma once
 
+#include <bergamotglade/detail/daemon/platform_adapter.hpp>
+
 #include <string>
 
 namespace bergamotglade {
@@ -16,9 +18,10 @@
 };
 
 /// @brief Runs a balancer until a signal stops it.
-/// @param settingsPath YAML file
-ExitCode runBalancer(const std::string &settingsPath);
-/// @brief Runs an agent until a signal stops it and its flows are handed over.
-ExitCode runAgent(const std::string &settingsPath);
+/// @param settingsPath YAML file; a section `steering` makes it steer connections
+/// @param adapter translates the platform of steered connections
+ExitCode runBalancer(const std::string &settingsPath, const PlatformAdapter &adapter = {});
+/// @brief Runs an agent until a signal stops it and its flows are handed over or have ended.
+ExitCode runAgent(const std::string &settingsPath, const PlatformAdapter &adapter = {});
 
 } // namespace bergamotglade
--- a/include/bergamotglade/detail/daemon/settings.hpp
+++ b/include/bergamotglade/detail/daemon/settings.hpp
@@ -5,6 +5,7 @@
 #include <bergamotglade/detail/config/document.hpp>
 #include <bergamotglade/detail/node/agent_node.hpp>
 
+#include <optional>
 #include <string>
 
 namespace bergamotglade {
@@ -19,20 +20,33 @@
     Endpoint listen; ///< UDP for packets and TCP for control; port 0 lets the kernel choose
     Endpoint platform; ///< the configuration service
     std::vector<Endpoint> peers; ///< asked while the platform is down
+    bool peersAtOwnPort = false; ///< peers listen at this process's port, whatever theirs says
     LogLevel logLevel = LogLevel::Info;
     Millis stopTimeout {20'000}; ///< longest graceful stop
     bool faults = false; ///< accept fault injection on the control port; for tests only
 };
 
+/// Connection steering: packets of a platform in place of the product's own messages.
+struct SteeringDaemonSettings
+{
+    Endpoint packets; ///< UDP: packets of callers, and those that processes pass on
+    Endpoint ready; ///< TCP: answers whether the process takes packets
+    Endpoint fromUpstream; ///< UDP: packets of the upstream; agents only
+    Millis flowMax {60'000}; ///< oldest flow that is kept
+    Millis watchTime {500}; ///< longest wait of a watch; the age of a reader's confirmation
+};
+
 struct BalancerSettings
 {
     CommonSettings common;
+    std::optional<SteeringDaemonSettings> steering;
     bool uniform = false; ///< baseline: ignore weights
 };
 
 struct AgentDaemonSettings
 {
     CommonSettings common;
+    std::optional<SteeringDaemonSettings> steering;
     AgentSettings agent;
     Endpoint upstreamAddress; ///< the upstream beside the agent, HTTP over TCP
 };
--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -38,6 +38,13 @@
     Millis vmListInterval {3'600'000}; ///< between two readings of the VM list
     Mechanisms mechanisms;
     std::size_t readersPerDomain = 2;
+    /// Rank as a reader of a VM that the list does not name: it steps in after the listed ones.
+    std::size_t unlistedRank = 8;
+    /// Asks the readers of the own failure domain at each round, not a random peer only.
+    bool asksReaders = false;
+    /// What the platform removes within this time of its return may only have expired while it
+    /// was away.
+    Millis lapseWindow {4000};
     std::size_t fanOut = 4; ///< peers told of a new version at once
 };
 
@@ -63,6 +70,10 @@
     std::function<void()> readVmList;
     /// Called after a change came into force.
     std::function<void()> onChange;
+    /// Reads sections of another form of document; none for the YAML form.
+    SectionTaker takeSection;
+    /// Where agents listen for notices; none for those that the YAML document names.
+    std::function<std::vector<Endpoint>()> agents;
 };
 
 /// State machine without I/O. Feed it events with the time of each.
@@ -119,6 +130,8 @@
     void take(const ChangeBatch &batch, Instant now);
     void confirm(Instant since);
     void updateRank(const std::vector<Vm> &vms);
+    void findAgents();
+    void askReaders(Instant now);
     [[nodiscard]] bool shouldRead(Instant now) const;
     [[nodiscard]] std::vector<Endpoint> peers() const;
     void remember(const Endpoint &peer);
@@ -132,6 +145,7 @@
     DisseminationCounters m_counters;
 
     std::vector<Vm> m_vms;
+    std::vector<Endpoint> m_readers; ///< of the own failure domain, by rank
     std::deque<Endpoint> m_recent; ///< peers heard lately, newest last
     std::vector<Endpoint> m_agents; ///< agents of the document
     std::size_t m_rank = 0;
@@ -149,6 +163,8 @@
     Instant m_nextGossip;
     Instant m_nextRead;
     Instant m_nextVmList;
+    Instant m_platformFailedAt;
+    std::uint64_t m_rounds = 0;
     Millis m_retry {};
     Millis m_listRetry {};
 };
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -45,6 +45,8 @@
     double limit = 0; ///< requests that the upstream bears at once
     std::uint32_t serviceTimeMs = 0; ///< smoothed; 0 where unknown
     bool draining = false;
+    /// The upstream leaves packets unanswered.
+    bool silentUpstream = false;
 };
 
 /// News about one process, spread by gossip. A higher counter wins.
--- /dev/null
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -0,0 +1,158 @@
+/// @file
+/// Steering at an agent: owns the flows of its upstream and decides what the upstream gets.
+#pragma once
+
+#include <bergamotglade/detail/admission/load_board.hpp>
+#include <bergamotglade/detail/admission/rate_limit.hpp>
+#include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/owned_flow.hpp>
+#include <bergamotglade/detail/steering/steering_event.hpp>
+
+#include <deque>
+
+namespace bergamotglade {
+
+struct AgentSteeringSettings
+{
+    Endpoint self; ///< where other processes send packets
+    Endpoint upstream; ///< where the upstream takes packets
+    ServiceName service;
+    FailureDomainId domain;
+    Incarnation incarnation;
+    /// An upstream answers an opening packet within a millisecond; later means that it is silent.
+    Millis offerTimeout {40};
+    /// A silent upstream is tried again with one new flow after this.
+    Millis probeInterval {300};
+    /// An upstream that left this many packets in a row unanswered, over crashTime, has crashed.
+    std::uint32_t crashPackets = 3;
+    Millis crashTime {400};
+    /// Agents that one opening packet may pass before it must be taken or refused.
+    std::uint8_t hopsMax = 4;
+    /// Requests taken beyond the slots before new flows are handed on, as a share of the slots.
+    double queueShare = 0.25;
+    /// A search that found no owner must fail twice, this far apart, before the flow is reset: the
+    /// lists of two processes may differ for a moment.
+    Millis searchAgain {150};
+    Millis searchMemory {3000};
+    /// Oldest flow that may exist: an agent that runs for longer knows all of its upstream's.
+    Millis flowMax {60'000};
+    Millis idle {15'000}; ///< a flow without packets is forgotten after this
+    Millis endedLinger {2000}; ///< an ended flow is kept for late packets
+    Millis reportInterval {150}; ///< between two load reports to the same process
+    Millis reportMemory {2000}; ///< processes that sent a new flow within this get reports
+    std::size_t reportTargetsMax = 24;
+    std::size_t flowsMax = 50'000;
+};
+
+struct AgentSteeringCounters
+{
+    std::uint64_t delivered = 0;
+    std::uint64_t returned = 0; ///< packets that the upstream would not take
+    std::uint64_t opened = 0;
+    std::uint64_t handedOn = 0;
+    std::uint64_t passedOn = 0; ///< packets of flows that are not owned here
+    std::uint64_t resetUnclaimed = 0;
+    std::uint64_t resetRefused = 0;
+    std::uint64_t resetCrashed = 0;
+    std::uint64_t silent = 0;
+    std::uint64_t toCallers = 0;
+    std::uint64_t upstreamSilences = 0;
+};
+
+struct AgentSteeringHooks
+{
+    std::function<void(const PacketBytes &)> toUpstream;
+    std::function<void(const Endpoint &agent, const PacketBytes &)> toAgent;
+    std::function<void(const Endpoint &caller, const PacketBytes &)> toCaller;
+    std::function<void(const Endpoint &process, const LoadReport &)> report;
+    std::function<bool(Instant)> mayAct;
+    SteeringLog log;
+};
+
+/// State machine without I/O.
+class AgentSteering
+{
+public:
+    /// @param directory outlives the agent
+    AgentSteering(AgentSteeringSettings settings, Directory &directory, PacketCodec codec,
+                  AgentSteeringHooks hooks, Random random, Instant now);
+
+    /// @brief A packet of a caller, from a balancer or another agent.
+    void onCallerPacket(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                        Instant now);
+    /// @brief A packet that the upstream wrote or returned.
+    void onUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
+    void onLoadReport(const LoadReport &report, Instant now);
+    /// @brief Call at least every 20 ms.
+    void onTick(Instant now);
+    /// @brief Takes no new flows from here on.
+    void stop(Instant now);
+
+    /// @brief Flows that a stop would cut.
+    [[nodiscard]] std::size_t openCount() const;
+    [[nodiscard]] std::size_t flowCount() const noexcept { return m_flows.size(); }
+    [[nodiscard]] LoadEstimate load(Instant now) const;
+    [[nodiscard]] bool isUpstreamSilent() const noexcept { return m_silent; }
+    [[nodiscard]] const AgentSteeringCounters &counters() const noexcept { return m_counters; }
+
+private:
+    struct FailedSearch
+    {
+        Instant first;
+        Instant last;
+    };
+
+    void onOpening(const Segment &segment, PacketBytes bytes, Instant now);
+    void onContinuation(const Segment &segment, PacketBytes bytes, Instant now);
+    void onReturned(const Segment &segment, PacketBytes bytes, Instant now);
+    [[nodiscard]] std::string_view whyNotHere(const RouteEntry &route, const Trail &trail,
+                                              Instant now);
+    void take(const Segment &segment, PacketBytes bytes, Instant now);
+    void handOn(const FlowKey &key, PacketBytes bytes, Trail trail, std::string_view reason,
+                std::uint32_t acknowledgement, Instant now);
+    void passOn(const Segment &segment, PacketBytes bytes, std::string_view reason, Instant now);
+    void onUnclaimed(const Segment &segment, const Trail &trail, Instant now);
+    void deliver(const FlowKey &key, PacketBytes bytes, Instant now);
+    void reset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
+               Instant now);
+    void setBusy(OwnedFlow &flow, bool busy, Instant now);
+    void onUpstreamHeard(Instant now);
+    void checkOffers(Instant now);
+    void checkCrash(Instant now);
+    void checkIncarnation(Instant now);
+    void forgetOld(Instant now);
+    void sendReports(Instant now, bool atOnce);
+    void drop(const FlowKey &key);
+    [[nodiscard]] bool mayHoldUnknown(Instant now) const;
+    [[nodiscard]] std::uint32_t slots() const;
+    void note(std::string_view decision, std::string_view reason, const FlowKey &flow,
+              const Endpoint &target, Instant now);
+
+    AgentSteeringSettings m_settings;
+    Directory &m_directory;
+    PacketCodec m_codec;
+    AgentSteeringHooks m_hooks;
+    Random m_random;
+    LoadBoard m_board;
+    RateLimit m_coldLimit;
+    std::unordered_map<FlowKey, OwnedFlow> m_flows;
+    std::deque<FlowKey> m_sweep;
+    std::deque<FlowKey> m_offered;
+    std::unordered_map<FlowKey, FailedSearch> m_failedSearches;
+    std::unordered_map<Endpoint, Instant> m_senders; ///< processes that sent new flows lately
+    std::uint32_t m_busy = 0;
+    std::uint32_t m_waiting = 0; ///< flows offered to the upstream or accepted, without a request
+    double m_serviceTimeMs = 0;
+    bool m_stopping = false;
+    bool m_silent = false; ///< the upstream leaves packets unanswered
+    bool m_crashed = false;
+    std::uint32_t m_unanswered = 0;
+    Instant m_unansweredSince;
+    Instant m_probeAt;
+    Instant m_startedAt;
+    Instant m_nextReport;
+    std::optional<std::uint64_t> m_upstreamStart;
+    AgentSteeringCounters m_counters;
+};
+
+} // namespace bergamotglade
--- /dev/null
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// One flow as the agent beside its upstream sees it.
+#pragma once
+
+#include <bergamotglade/detail/steering/segment.hpp>
+
+#include <optional>
+
+namespace bergamotglade {
+
+/// How far a flow has come.
+enum class FlowStage : std::uint8_t {
+    Offered, ///< the upstream has the opening packet
+    Accepted, ///< the upstream has answered it
+    Open, ///< the caller has acknowledged this upstream's answer
+    Ended, ///< the upstream has finished or reset it
+    Moved, ///< offered to another agent
+};
+
+struct OwnedFlow
+{
+    FlowStage stage = FlowStage::Offered;
+    Instant seen; ///< last packet of either end
+    Instant offeredAt;
+    Instant busySince;
+    bool busy = false; ///< a request waits for the upstream
+    /// First sequence number of the upstream, from its answer to the opening packet.
+    std::optional<std::uint32_t> upstreamSequence;
+    /// Last acknowledgement of the caller: resets must be close to it.
+    std::uint32_t callerAcknowledgement = 0;
+    Endpoint movedTo;
+    Trail trail;
+    PacketBytes opening;
+
+    /// @brief Whether a packet of the caller continues this upstream's side of the flow.
+    /// @return true also where the upstream's side is not known
+    [[nodiscard]] bool continues(const Segment &segment) const noexcept
+    {
+        if (!upstreamSequence || !segment.acknowledges || stage == FlowStage::Open) {
+            return true;
+        }
+        return segment.acknowledgement - *upstreamSequence <= FirstWindow;
+    }
+
+    /// The first acknowledgement lies within one window of the upstream's first packets:
+    /// 16 packets of 1,200 bytes.
+    static constexpr std::uint32_t FirstWindow = 16 * 1200 + 1;
+};
+
+} // namespace bergamotglade
--- a/src/admission/load_board.cpp
+++ b/src/admission/load_board.cpp
@@ -71,6 +71,38 @@
     return best == nullptr ? std::nullopt : std::optional(best->report.sender);
 }
 
+double LoadBoard::usualTimeMs(Instant now) const
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto &[endpoint, peer] : m_peers) {
+        if (peer.report.serviceTimeMs != 0 && now - peer.heard <= m_settings.reportAge) {
+            sum += peer.report.serviceTimeMs;
+            count += 1;
+        }
+    }
+    return count == 0 ? 1 : sum / count;
+}
+
+LoadEstimate LoadBoard::estimate(const Endpoint &peer, Instant now) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || now - found->second.heard > m_settings.reportAge) {
+        LoadEstimate unknown;
+        unknown.queued = found == m_peers.end() ? 0 : found->second.sentSince;
+        unknown.limit = found == m_peers.end() ? 1 : found->second.report.limit;
+        unknown.serviceTimeMs = usualTimeMs(now);
+        return unknown;
+    }
+    return estimateOf(found->second, usualTimeMs(now));
+}
+
+Millis LoadBoard::ageOf(const Endpoint &peer, Instant now) const
+{
+    const auto found = m_peers.find(peer);
+    return found == m_peers.end() ? Millis() : now - found->second.heard;
+}
+
 bool LoadBoard::isFresh(const Endpoint &peer, Instant now) const
 {
     const auto found = m_peers.find(peer);
--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -1,6 +1,7 @@
 #include <bergamotglade/detail/config/store.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace bergamotglade {
 
@@ -18,6 +19,9 @@
             changed |= takeOne(change);
         }
     }
+    if (batch.snapshot) {
+        changed |= takeAbsent(batch);
+    }
     // A batch that starts after our mark leaves a gap; its sections count, its mark does not.
     const bool newer = batch.upTo > m_revision || !m_mechanisms.neverRevert;
     if (batch.since <= m_revision && newer) {
@@ -38,9 +42,47 @@
         return false;
     }
     record.seen = std::max(record.seen, change.revision);
+    if (m_taker) {
+        return takeForeign(change, record);
+    }
     return change.name == RootName ? takeRoot(change, record) : takeSection(change, record);
 }
 
+bool ConfigStore::takeAbsent(const ChangeBatch &batch)
+{
+    std::set<SectionName> listed;
+    for (const SectionChange &change : batch.changes) {
+        listed.insert(change.name);
+    }
+    std::vector<SectionChange> absent;
+    for (const auto &[name, record] : m_records) {
+        if (!record.removed && record.accepted != Revision() && record.seen < batch.upTo
+            && !listed.contains(name)) {
+            absent.push_back({name, batch.upTo, {}, true, batch.lapses});
+        }
+    }
+    bool changed = false;
+    for (const SectionChange &change : absent) {
+        changed |= takeOne(change);
+    }
+    return changed;
+}
+
+bool ConfigStore::takeForeign(const SectionChange &change, Record &record)
+{
+    record.findings = m_taker(change);
+    const bool broken = hasErrors(record.findings);
+    ++(broken ? m_counters.rejected : m_counters.taken);
+    if (broken && change.name == RootName) {
+        return false;
+    }
+    record.accepted = change.revision;
+    record.removed = change.removed || broken;
+    record.lapsed = change.lapsed;
+    record.text = record.removed ? std::string() : change.text;
+    return true;
+}
+
 bool ConfigStore::takeRoot(const SectionChange &change, Record &record)
 {
     auto checked = checkRoot(change.text, RootName.str());
@@ -61,7 +103,7 @@
 {
     const auto order = orderOf(change.name);
     if (change.removed) {
-        record = Record {record.seen, change.revision, true, {}, std::nullopt, {}};
+        record = Record {record.seen, change.revision, true, false, {}, std::nullopt, {}};
         m_view.remove(change.name);
         ++m_counters.taken;
         return true;
@@ -110,10 +152,13 @@
 
 ChangeBatch ConfigStore::changesSince(Revision since) const
 {
-    ChangeBatch batch {since, m_revision, {}};
+    ChangeBatch batch;
+    batch.since = since;
+    batch.upTo = m_revision;
     for (const auto &[name, record] : m_records) {
         if (record.accepted > since) {
-            batch.changes.push_back({name, record.accepted, record.text, record.removed});
+            batch.changes.push_back(
+                {name, record.accepted, record.text, record.removed, record.lapsed});
         }
     }
     return batch;
@@ -122,11 +167,15 @@
 bool ConfigStore::hasRoot() const
 {
     const auto root = m_records.find(RootName);
-    return root != m_records.end() && root->second.accepted != Revision();
+    return root != m_records.end() && root->second.accepted != Revision()
+        && !root->second.removed;
 }
 
 bool ConfigStore::isComplete() const
 {
+    if (m_taker) {
+        return hasRoot();
+    }
     return hasRoot()
         && std::all_of(m_root.sections.begin(), m_root.sections.end(), [&](const auto &name) {
                const auto found = m_records.find(name);
--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -1,4 +1,5 @@
 #include "process.hpp"
+#include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/burn/window_counter.hpp>
 #include <bergamotglade/detail/daemon/control_plane.hpp>
@@ -287,13 +288,16 @@
 
 } // namespace
 
-ExitCode runAgent(const std::string &settingsPath)
+ExitCode runAgent(const std::string &settingsPath, const PlatformAdapter &adapter)
 {
     auto checked = loadAgentSettings(settingsPath);
     if (!reportFindings(checked.findings)) {
         return ExitCode::BadSettings;
     }
     setUpLog("glade-agent/" + checked.value->agent.upstream.str(), checked.value->common.logLevel);
+    if (checked.value->steering) {
+        return runSteeringAgent(std::move(*checked.value), settingsPath, adapter);
+    }
     Agent agent(std::move(*checked.value), settingsPath);
     return agent.run();
 }
--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -1,4 +1,5 @@
 #include "process.hpp"
+#include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/daemon/control_plane.hpp>
 #include <bergamotglade/detail/daemon/log.hpp>
@@ -115,13 +116,16 @@
 
 } // namespace
 
-ExitCode runBalancer(const std::string &settingsPath)
+ExitCode runBalancer(const std::string &settingsPath, const PlatformAdapter &adapter)
 {
     auto checked = loadBalancerSettings(settingsPath);
     if (!reportFindings(checked.findings)) {
         return ExitCode::BadSettings;
     }
     setUpLog("glade-balancer/" + checked.value->common.vm.str(), checked.value->common.logLevel);
+    if (checked.value->steering) {
+        return runSteeringBalancer(std::move(*checked.value), settingsPath, adapter);
+    }
     Balancer balancer(std::move(*checked.value), settingsPath);
     return balancer.run();
 }
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -79,7 +79,12 @@
     settings.domain = m_settings.domain;
     settings.incarnation = Incarnation(random());
     settings.seeds = m_settings.peers;
+    if (m_hooks.tune) {
+        m_hooks.tune(settings);
+    }
     DisseminationHooks hooks;
+    hooks.takeSection = m_hooks.takeSection;
+    hooks.agents = m_hooks.agents;
     hooks.sendNotice = [this](const Endpoint &peer, const Notice &notice) {
         sendControl(peer, encode(notice));
     };
@@ -93,11 +98,10 @@
         readVmList();
     };
     hooks.onChange = [this] {
-        logState("configuration revision " + std::to_string(m_dissemination->revision().value())
-                 + " in force");
-        for (const Finding &finding : m_dissemination->store().findings()) {
-            logError("configuration: " + describe(finding));
-        }
+        logEvent("configuration in force",
+                 {{"revision", m_dissemination->revision().value()},
+                  {"platform_age_ms", m_dissemination->platformAge(Clock::now()).count()}});
+        logFindings();
         if (m_hooks.onChange) {
             m_hooks.onChange();
         }
@@ -106,6 +110,20 @@
         std::make_unique<Dissemination>(std::move(settings), std::move(hooks), std::move(random));
 }
 
+void ControlPlane::logFindings()
+{
+    // Each finding once, not again with every later change.
+    std::set<std::string> current;
+    for (const Finding &finding : m_dissemination->store().findings()) {
+        const std::string text = describe(finding);
+        if (!m_loggedFindings.contains(text)) {
+            logError("configuration: " + text);
+        }
+        current.insert(text);
+    }
+    m_loggedFindings = std::move(current);
+}
+
 void ControlPlane::addMetrics()
 {
     const auto &dissemination = *m_dissemination;
@@ -116,6 +134,8 @@
     });
     m_metrics.gauge("reader", "Whether this process watches the platform",
                     [&] { return dissemination.isReader() ? 1.0 : 0.0; });
+    m_metrics.counter("log_lines_dropped", "Log lines dropped: over the rate, or no reader",
+                      [] { return static_cast<double>(droppedLogLines()); });
     m_metrics.count("bad_datagrams", "Datagrams that could not be read", m_counters.badDatagrams);
     m_metrics.count("bad_control", "Control messages that could not be read",
                     m_counters.badControl);
@@ -299,6 +319,11 @@
         m_dissemination->onPlatformFailed(Clock::now());
         return;
     }
+    if (m_hooks.source) {
+        m_hooks.source(since, watch,
+                       [this](Result<ChangeBatch> batch) { onPlatform(std::move(batch)); });
+        return;
+    }
     HttpRequest request;
     request.target = "/v1/changes?since=" + std::to_string(since.value());
     Millis timeout = PlatformTimeout;
@@ -308,23 +333,44 @@
     }
     m_client.call(m_settings.platform, request, timeout,
                   [this](Result<HttpReply, HttpFailure> reply) {
-                      const Instant now = Clock::now();
                       constexpr std::uint16_t Ok = 200;
-                      if (!reply || reply.value().status != Ok || isCut(m_settings.platform)) {
-                          m_dissemination->onPlatformFailed(now);
+                      if (!reply) {
+                          onPlatform(reply.error().error);
                           return;
                       }
-                      m_counters.controlBytesReceived += reply.value().body.size() + HttpOverhead;
-                      const auto batch = batchFromJson(reply.value().body);
-                      if (!batch) {
-                          ++m_counters.badControl;
-                          m_dissemination->onPlatformFailed(now);
+                      if (reply.value().status != Ok) {
+                          onPlatform(Error {ErrorCode::Refused, "the platform refused a read",
+                                            reply.value().status});
                           return;
                       }
-                      m_dissemination->onPlatformBatch(batch.value(), now);
+                      m_counters.controlBytesReceived += reply.value().body.size() + HttpOverhead;
+                      onPlatform(batchFromJson(reply.value().body));
                   });
 }
 
+void ControlPlane::onPlatform(Result<ChangeBatch> batch)
+{
+    const Instant now = Clock::now();
+    if (!batch || isCut(m_settings.platform)) {
+        if (!batch && batch.error().code == ErrorCode::BadJson) {
+            ++m_counters.badControl;
+        }
+        if (m_platformUp) {
+            m_platformUp = false;
+            logEvent("platform lost",
+                     {{"error", batch ? "cut" : describe(batch.error())},
+                      {"revision", m_dissemination->revision().value()}});
+        }
+        m_dissemination->onPlatformFailed(now);
+        return;
+    }
+    if (!m_platformUp) {
+        m_platformUp = true;
+        logEvent("platform regained", {{"revision", batch.value().upTo.value()}});
+    }
+    m_dissemination->onPlatformBatch(batch.value(), now);
+}
+
 void ControlPlane::readVmList()
 {
     HttpRequest request;
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -1,20 +1,78 @@
 #include <bergamotglade/detail/daemon/log.hpp>
 
+#include <bergamotglade/detail/admission/rate_limit.hpp>
+
+#include <nlohmann/json.hpp>
+
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace bergamotglade {
 
+namespace {
+
+/// Lines a second about single requests: enough for an on-call engineer to follow one, and a few
+/// milliseconds of processor time.
+constexpr double DecisionsPerSecond = 400;
+/// Decisions that may come at once.
+constexpr double DecisionBurst = 800;
+/// A pipe that polls as writable takes this much without blocking.
+constexpr std::size_t LineBytesMax = 4096;
+
+std::string processName;
+std::uint64_t droppedLines = 0;
+RateLimit decisionLimit {DecisionBurst};
+
+/// Writes a line if the reader has room for it.
+class NonBlockingOutput : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        std::string line = data->logMessage()->message();
+        line.resize(std::min(line.size(), LineBytesMax - 1));
+        line += '\n';
+        pollfd output {STDOUT_FILENO, POLLOUT, 0};
+        const bool writable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!writable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++droppedLines;
+        }
+    }
+};
+
+std::string lineOf(std::string_view level, std::string_view event,
+                   std::initializer_list<LogField> fields)
+{
+    nlohmann::ordered_json line;
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+    line["level"] = level;
+    line["process"] = processName;
+    line["event"] = event;
+    for (const LogField &field : fields) {
+        std::visit([&](const auto &value) { line[std::string(field.key)] = value; }, field.value);
+    }
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace
+
 void setUpLog(const std::string &process, LogLevel level)
 {
+    processName = process;
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    configuration.setGlobally(el::ConfigurationType::Format,
-                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level " + process + " %msg");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
     el::Loggers::reconfigureLogger("default", configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<NonBlockingOutput>("NonBlockingOutput");
     setLogLevel(level);
 }
 
@@ -28,14 +86,33 @@
     el::Loggers::reconfigureLogger("default", configuration);
 }
 
+void logEvent(std::string_view event, std::initializer_list<LogField> fields)
+{
+    LOG(INFO) << lineOf("info", event, fields);
+}
+
+void logDecision(std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!decisionLimit.admit(DecisionsPerSecond, Clock::now())) {
+        ++droppedLines;
+        return;
+    }
+    LOG(INFO) << lineOf("info", event, fields);
+}
+
 void logState(const std::string &line)
 {
-    LOG(INFO) << line;
+    logEvent("state", {{"message", line}});
 }
 
 void logError(const std::string &line)
 {
-    LOG(ERROR) << line;
+    LOG(ERROR) << lineOf("error", "error", {{"message", line}});
+}
+
+std::uint64_t droppedLogLines() noexcept
+{
+    return droppedLines;
 }
 
 } // namespace bergamotglade
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -9,12 +9,11 @@
 
 namespace {
 
-constexpr Millis TickInterval {50};
 constexpr const char *LoopName = "loop";
 
 } // namespace
 
-Process::Process(Millis stopTimeout)
+Process::Process(Millis stopTimeout, Millis tickInterval)
     : m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_timer(m_io)
     , m_supervisor("root", {},
@@ -23,6 +22,7 @@
                        finish(ExitCode::Failed);
                    })
     , m_stopTimeout(stopTimeout)
+    , m_tickInterval(tickInterval)
 { }
 
 ExitCode Process::run()
@@ -44,7 +44,7 @@
 
 void Process::scheduleTick()
 {
-    m_timer.expires_after(TickInterval);
+    m_timer.expires_after(m_tickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
--- a/src/daemon/process.hpp
+++ b/src/daemon/process.hpp
@@ -14,6 +14,10 @@
 
 namespace bergamotglade {
 
+/// Ticks of the message interface, and of steering, which times answers of upstreams by them.
+inline constexpr Millis TickInterval {50};
+inline constexpr Millis SteeringTickInterval {20};
+
 /// @brief Prints the findings of a settings file; true when it can be used.
 bool reportFindings(const Findings &findings);
 
@@ -33,7 +37,7 @@
 class Process
 {
 public:
-    explicit Process(Millis stopTimeout);
+    explicit Process(Millis stopTimeout, Millis tickInterval = TickInterval);
 
     [[nodiscard]] boost::asio::io_context &io() noexcept { return m_io; }
     [[nodiscard]] Supervisor &supervisor() noexcept { return m_supervisor; }
@@ -62,6 +66,7 @@
     Supervisor m_supervisor;
     ProcessHooks m_hooks;
     Millis m_stopTimeout;
+    Millis m_tickInterval;
     Instant m_stopBy;
     ExitCode m_code = ExitCode::Ok;
 };
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -19,6 +19,7 @@
     map.endpoint("platform", common.platform, Need::Required);
     map.duration("stop_timeout", common.stopTimeout);
     map.boolean("faults", common.faults);
+    map.boolean("peers_at_own_port", common.peersAtOwnPort);
     map.list("peers", [&](const YAML::Node &node) {
         const auto peer = Endpoint::parse(node.IsScalar() ? node.Scalar() : std::string());
         if (peer) {
@@ -27,6 +28,11 @@
             sink.add(FindingCode::WrongType, node.Mark(), "peers: " + peer.error().message);
         }
     });
+    if (common.peersAtOwnPort) {
+        for (Endpoint &peer : common.peers) {
+            peer.port = common.listen.port;
+        }
+    }
     map.map("log_level", [&](const YAML::Node &node) {
         const std::string word = node.IsScalar() ? node.Scalar() : std::string();
         if (word == "error") {
@@ -42,6 +48,23 @@
     });
 }
 
+void readSteering(YamlMap &map, std::optional<SteeringDaemonSettings> &steering, bool isAgent,
+                  FindingSink &sink)
+{
+    map.map("steering", [&](const YAML::Node &node) {
+        steering.emplace();
+        YamlMap inner(node, "steering", sink);
+        inner.endpoint("packets", steering->packets, Need::Required);
+        inner.endpoint("ready", steering->ready);
+        if (isAgent) {
+            inner.endpoint("from_upstream", steering->fromUpstream, Need::Required);
+        }
+        inner.duration("flow_max", steering->flowMax);
+        inner.duration("watch_time", steering->watchTime);
+        inner.finish();
+    });
+}
+
 void readLimit(const YAML::Node &node, LimitSettings &limit, FindingSink &sink)
 {
     constexpr double LimitMax = 100'000;
@@ -117,6 +140,7 @@
     return load<BalancerSettings>(path,
                                   [](YamlMap &map, BalancerSettings &settings, FindingSink &sink) {
                                       readCommon(map, settings.common, sink);
+                                      readSteering(map, settings.steering, false, sink);
                                       map.boolean("uniform", settings.uniform);
                                   });
 }
@@ -126,6 +150,7 @@
     return load<AgentDaemonSettings>(
         path, [](YamlMap &map, AgentDaemonSettings &settings, FindingSink &sink) {
             readCommon(map, settings.common, sink);
+            readSteering(map, settings.steering, true, sink);
             readAgent(map, settings, sink);
             settings.agent.domain = settings.common.domain;
         });
--- /dev/null
+++ b/src/daemon/steering_balancer.cpp
@@ -0,0 +1,143 @@
+#include "steering_runtime.hpp"
+
+#include <bergamotglade/detail/daemon/log.hpp>
+#include <bergamotglade/detail/steering/balancer_steering.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace bergamotglade {
+
+namespace {
+
+/// A stopping balancer forwards for this long: the fabric asks twice a second and takes two misses
+/// as the end, and packets are under way for some milliseconds more.
+constexpr Millis StopLinger {1800};
+
+class SteeringBalancerDaemon
+{
+public:
+    SteeringBalancerDaemon(BalancerSettings settings, std::string path,
+                           const PlatformAdapter &adapter)
+        : m_settings(std::move(settings))
+        , m_path(std::move(path))
+        , m_adapter(adapter)
+        , m_process(m_settings.common.stopTimeout, SteeringTickInterval)
+    { }
+
+    ExitCode run()
+    {
+        m_process.supervisor().add({"loop", [this] { return start(); },
+                                    [this] {
+                                        stop();
+                                    }});
+        ProcessHooks hooks;
+        hooks.onTick = [this](Instant now) {
+            m_runtime->onTick(now);
+            m_steering->onTick(now);
+        };
+        hooks.onStop = [this](Instant now) {
+            m_stopping = true;
+            m_doneAt = now + StopLinger;
+        };
+        hooks.isDone = [this] {
+            return Clock::now() >= m_doneAt;
+        };
+        hooks.onReload = [this] {
+            m_process.reload(loadBalancerSettings(m_path));
+        };
+        m_process.setHooks(std::move(hooks));
+        return m_process.run();
+    }
+
+private:
+    Result<void> start()
+    {
+        SteeringRuntimeHooks hooks;
+        hooks.onPacket = [this](const Endpoint & /*from*/, std::string_view bytes) {
+            const auto segment = m_adapter.packets.fromCaller(bytes);
+            if (!segment) {
+                m_runtime->countBadPacket(segment.error());
+                return;
+            }
+            m_steering->onPacket(segment.value(), PacketBytes(bytes), Clock::now());
+        };
+        hooks.onLoadReport = [this](const LoadReport &report) {
+            m_steering->onLoadReport(report, Clock::now());
+        };
+        hooks.isReady = [this] {
+            return !m_stopping && m_runtime->directory().hasRoutes()
+                && m_runtime->plane().dissemination().isReady(Clock::now());
+        };
+        hooks.addStatus = [](nlohmann::json &status) {
+            status["role"] = "balancer";
+        };
+        auto runtime = SteeringRuntime::open(m_process.io(), m_settings.common,
+                                             *m_settings.steering, m_adapter, std::move(hooks));
+        if (!runtime) {
+            return runtime.error();
+        }
+        m_runtime = std::move(runtime.value());
+        BalancerSteeringHooks out;
+        out.forward = [this](const Endpoint &agent, const PacketBytes &bytes) {
+            m_runtime->sendPacket(agent, bytes);
+        };
+        out.reset = [this](const Endpoint &caller, const PacketBytes &bytes) {
+            m_runtime->sendToCaller(caller, bytes);
+        };
+        out.mayAct = [this](Instant now) {
+            return m_runtime->mayAct(now);
+        };
+        out.log = m_runtime->log();
+        m_steering.emplace(BalancerSteeringSettings {}, m_runtime->directory(), m_adapter.packets,
+                           std::move(out), systemRandom());
+        addMetrics();
+        logEvent("started", {{"packets", m_settings.steering->packets.str()},
+                             {"control", m_runtime->plane().local().str()}});
+        return boost::outcome_v2::success();
+    }
+
+    void stop()
+    {
+        logEvent("stopped");
+        m_steering.reset();
+        m_runtime.reset();
+    }
+
+    void addMetrics()
+    {
+        Metrics &metrics = m_runtime->plane().metrics();
+        const BalancerSteeringCounters &c = m_steering->counters();
+        metrics.count("forwarded", "Packets sent to the agent of their flow", c.forwarded);
+        metrics.count("placed", "New flows offered to an agent", c.placed);
+        metrics.count("reoffered", "Offers without an answer, made to another agent", c.reoffered);
+        metrics.count("searched", "Packets whose flow's owner had to be searched", c.searched);
+        metrics.count("reset_no_route", "Flows reset: no route", c.resetNoRoute);
+        metrics.count("reset_no_upstream", "Flows reset: no upstream takes them",
+                      c.resetNoUpstream);
+        metrics.count("silent", "Packets dropped without an answer", c.silent);
+        metrics.gauge("flows", "Flows remembered",
+                      [this] { return static_cast<double>(m_steering->flowCount()); });
+    }
+
+    BalancerSettings m_settings;
+    std::string m_path;
+    PlatformAdapter m_adapter;
+    Process m_process;
+    std::unique_ptr<SteeringRuntime> m_runtime;
+    std::optional<BalancerSteering> m_steering;
+    bool m_stopping = false;
+    Instant m_doneAt;
+};
+
+} // namespace
+
+ExitCode runSteeringBalancer(BalancerSettings settings, const std::string &path,
+                             const PlatformAdapter &adapter)
+{
+    SteeringBalancerDaemon daemon(std::move(settings), path, adapter);
+    return daemon.run();
+}
+
+} // namespace bergamotglade
--- /dev/null
+++ b/src/daemon/steering_runtime.cpp
@@ -0,0 +1,216 @@
+#include "steering_runtime.hpp"
+
+#include <bergamotglade/detail/daemon/log.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotglade {
+
+namespace {
+
+constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusUnavailable = 503;
+constexpr std::uint16_t StatusNotFound = 404;
+constexpr std::string_view ReadyPath = "/v1/ready";
+
+// Pace of dissemination between steering processes. A configuration must be in force within three
+// seconds also where the readers of a failure domain are lost.
+constexpr Millis GossipInterval {400};
+constexpr Millis ReaderLease {600};
+constexpr Millis PlatformRetryMin {200};
+constexpr Millis PlatformRetryMax {1000};
+/// Lines about packets that could not be read.
+constexpr Millis BadPacketLogInterval {1000};
+
+} // namespace
+
+SteeringRuntime::SteeringRuntime(const CommonSettings &common,
+                                 const SteeringDaemonSettings &steering,
+                                 SteeringRuntimeHooks hooks)
+    : m_common(common)
+    , m_steering(steering)
+    , m_hooks(std::move(hooks))
+{ }
+
+Result<std::unique_ptr<SteeringRuntime>>
+SteeringRuntime::open(boost::asio::io_context &io, const CommonSettings &common,
+                      const SteeringDaemonSettings &steering, const PlatformAdapter &adapter,
+                      SteeringRuntimeHooks hooks)
+{
+    std::unique_ptr<SteeringRuntime> runtime(
+        new SteeringRuntime(common, steering, std::move(hooks)));
+    const auto started = runtime->start(io, adapter);
+    if (!started) {
+        return started.error();
+    }
+    return runtime;
+}
+
+Result<void> SteeringRuntime::start(boost::asio::io_context &io, const PlatformAdapter &adapter)
+{
+    m_storeClient = std::make_unique<HttpClient>(io);
+    m_source = adapter.openSource(
+        *m_storeClient,
+        {m_common.platform, m_steering.packets.port, m_steering.watchTime});
+    auto packets = UdpSocket::open(io, m_steering.packets,
+                                   [this](const Endpoint &from, std::string_view bytes) {
+                                       m_hooks.onPacket(from, bytes);
+                                   });
+    if (!packets) {
+        return packets.error();
+    }
+    m_packets = std::move(packets.value());
+    if (m_steering.ready != Endpoint()) {
+        auto ready = HttpServer::listen(
+            io, m_steering.ready,
+            [this](const HttpRequest &request, const HttpResponder &respond,
+                   const std::function<bool()> &) {
+                if (request.target == ReadyPath) {
+                    serveReady(respond);
+                } else {
+                    respond({StatusNotFound, "text/plain", "unknown\n", {}});
+                }
+            });
+        if (!ready) {
+            return ready.error();
+        }
+        m_ready = std::move(ready.value());
+    }
+    auto plane = ControlPlane::open(io, m_common, controlHooks(), systemRandom());
+    if (!plane) {
+        return plane.error();
+    }
+    m_plane = std::move(plane.value());
+    Metrics &metrics = m_plane->metrics();
+    metrics.gauge("routes", "Routes in force",
+                  [this] { return static_cast<double>(m_directory.routeCount()); });
+    metrics.gauge("upstreams", "Upstreams known",
+                  [this] { return static_cast<double>(m_directory.upstreams().size()); });
+    metrics.count("bad_packets", "Packets that could not be read", m_badPackets);
+    m_plane->start(Clock::now());
+    return boost::outcome_v2::success();
+}
+
+ControlPlaneHooks SteeringRuntime::controlHooks()
+{
+    ControlPlaneHooks hooks;
+    hooks.source = m_source;
+    hooks.takeSection = [this](const SectionChange &change) {
+        return m_directory.take(change, Clock::now());
+    };
+    hooks.agents = [this] {
+        std::vector<Endpoint> agents;
+        for (const auto &[id, known] : m_directory.upstreams()) {
+            agents.push_back(controlOf(known.entry.agent));
+        }
+        return agents;
+    };
+    hooks.tune = [](DisseminationSettings &settings) {
+        settings.vm = VmId(settings.self.str());
+        settings.gossipInterval = GossipInterval;
+        settings.readerLease = ReaderLease;
+        settings.retryMin = PlatformRetryMin;
+        settings.retryMax = PlatformRetryMax;
+        settings.readersPerDomain = 1;
+        settings.unlistedRank = 1;
+        settings.asksReaders = true;
+    };
+    hooks.onDatagram = [this](const Endpoint & /*from*/, Datagram &&datagram) {
+        if (const auto *report = std::get_if<LoadReport>(&datagram)) {
+            m_hooks.onLoadReport(*report);
+        }
+    };
+    hooks.onChange = [this] {
+        onDirectoryChange();
+    };
+    hooks.addStatus = [this](nlohmann::json &status) {
+        status["route_version"] = m_directory.version();
+        m_hooks.addStatus(status);
+    };
+    return hooks;
+}
+
+void SteeringRuntime::onDirectoryChange()
+{
+    std::vector<Vm> vms;
+    for (const auto &[id, known] : m_directory.upstreams()) {
+        const Endpoint control = controlOf(known.entry.agent);
+        vms.push_back({VmId(control.str()), known.entry.domain, control, known.entry.leaving});
+    }
+    m_plane->dissemination().onVmList(vms, Clock::now());
+    if (m_directory.version() != m_loggedVersion) {
+        m_loggedVersion = m_directory.version();
+        logEvent("routes in force",
+                 {{"version", m_loggedVersion},
+                  {"routes", static_cast<std::uint64_t>(m_directory.routeCount())}});
+    }
+}
+
+void SteeringRuntime::onTick(Instant now)
+{
+    if (m_directory.expire(now)) {
+        onDirectoryChange();
+    }
+    m_plane->onTick(now);
+    const bool ready = m_hooks.isReady();
+    if (ready != m_wasReady) {
+        m_wasReady = ready;
+        logEvent(ready ? "ready" : "not ready",
+                 {{"version", m_directory.version()},
+                  {"revision", m_plane->dissemination().revision().value()},
+                  {"upstreams", static_cast<std::uint64_t>(m_directory.upstreams().size())}});
+    }
+}
+
+Endpoint SteeringRuntime::controlOf(const Endpoint &agent) const
+{
+    return {agent.address, m_common.listen.port};
+}
+
+void SteeringRuntime::serveReady(const HttpResponder &respond)
+{
+    const bool ready = m_hooks.isReady();
+    respond({ready ? StatusOk : StatusUnavailable, "text/plain", ready ? "ready\n" : "not ready\n",
+             {}});
+}
+
+void SteeringRuntime::sendPacket(const Endpoint &to, std::string_view bytes)
+{
+    m_packets->send(to, bytes);
+}
+
+void SteeringRuntime::sendToCaller(const Endpoint &caller, std::string_view bytes)
+{
+    m_packets->send({caller.address, m_steering.packets.port}, bytes);
+}
+
+void SteeringRuntime::sendReport(const Endpoint &process, const LoadReport &report)
+{
+    m_plane->sendControl(controlOf(process), encode(report));
+}
+
+SteeringLog SteeringRuntime::log() const
+{
+    return [](const SteeringEvent &event) {
+        logDecision(event.decision,
+                    {{"reason", std::string(event.reason)},
+                     {"flow", event.flow.caller.str() + ">" + event.flow.service.str()},
+                     {"target", event.target.str()},
+                     {"version", event.version},
+                     {"use", event.use},
+                     {"load_age_ms", event.inputAge.count()}});
+    };
+}
+
+void SteeringRuntime::countBadPacket(const Error &error)
+{
+    ++m_badPackets;
+    const Instant now = Clock::now();
+    if (now - m_badLoggedAt >= BadPacketLogInterval) {
+        m_badLoggedAt = now;
+        logError("packet dropped: " + describe(error) + ", "
+                 + std::to_string(m_badPackets) + " so far");
+    }
+}
+
+} // namespace bergamotglade
--- /dev/null
+++ b/src/daemon/steering_runtime.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// What steering balancers and agents share: directory, control plane, packet socket, readiness.
+#pragma once
+
+#include "process.hpp"
+
+#include <bergamotglade/detail/daemon/control_plane.hpp>
+#include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/steering_event.hpp>
+
+namespace bergamotglade {
+
+struct SteeringRuntimeHooks
+{
+    std::function<void(const Endpoint &from, std::string_view bytes)> onPacket;
+    std::function<void(const LoadReport &)> onLoadReport;
+    std::function<void(nlohmann::json &)> addStatus;
+    /// Whether the process wants packets.
+    std::function<bool()> isReady;
+};
+
+/// Owns the I/O of one steering process.
+class SteeringRuntime
+{
+public:
+    static Result<std::unique_ptr<SteeringRuntime>>
+    open(boost::asio::io_context &io, const CommonSettings &common,
+         const SteeringDaemonSettings &steering, const PlatformAdapter &adapter,
+         SteeringRuntimeHooks hooks);
+
+    void onTick(Instant now);
+
+    [[nodiscard]] Directory &directory() noexcept { return m_directory; }
+    [[nodiscard]] ControlPlane &plane() noexcept { return *m_plane; }
+    /// @brief Whether the view may be acted on.
+    [[nodiscard]] bool mayAct(Instant now) { return m_plane->dissemination().mayAct(now); }
+    void sendPacket(const Endpoint &to, std::string_view bytes);
+    /// @brief Sends a packet to a caller, who listens at the same port as this process.
+    void sendToCaller(const Endpoint &caller, std::string_view bytes);
+    void sendReport(const Endpoint &process, const LoadReport &report);
+    [[nodiscard]] SteeringLog log() const;
+    void countBadPacket(const Error &error);
+
+private:
+    SteeringRuntime(const CommonSettings &common, const SteeringDaemonSettings &steering,
+                    SteeringRuntimeHooks hooks);
+    Result<void> start(boost::asio::io_context &io, const PlatformAdapter &adapter);
+    ControlPlaneHooks controlHooks();
+    void onDirectoryChange();
+    [[nodiscard]] Endpoint controlOf(const Endpoint &agent) const;
+    void serveReady(const HttpResponder &respond);
+
+    CommonSettings m_common;
+    SteeringDaemonSettings m_steering;
+    SteeringRuntimeHooks m_hooks;
+    Directory m_directory;
+    std::unique_ptr<HttpClient> m_storeClient;
+    ConfigurationSource m_source;
+    std::unique_ptr<ControlPlane> m_plane;
+    std::unique_ptr<UdpSocket> m_packets;
+    std::unique_ptr<HttpServer> m_ready;
+    bool m_wasReady = false;
+    std::uint64_t m_loggedVersion = 0;
+    std::uint64_t m_badPackets = 0;
+    Instant m_badLoggedAt;
+};
+
+/// @name Entry points of the steering roles
+/// @{
+
+ExitCode runSteeringBalancer(BalancerSettings settings, const std::string &path,
+                             const PlatformAdapter &adapter);
+ExitCode runSteeringAgent(AgentDaemonSettings settings, const std::string &path,
+                          const PlatformAdapter &adapter);
+
+/// @}
+
+} // namespace bergamotglade
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -13,8 +13,8 @@
 constexpr Millis ListRetryMin {2000};
 constexpr Millis RumorTtl {60'000};
 constexpr Millis NeverConfirmed {std::chrono::hours(24)};
-/// A VM that the list does not name steps in late as a reader.
-constexpr std::size_t UnlistedRank = 8;
+/// Rounds in which only the readers are asked, between two that ask a random peer too.
+constexpr std::uint64_t RoundsPerRandomPeer = 4;
 
 } // namespace
 
@@ -23,13 +23,27 @@
     : m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
     , m_random(std::move(random))
-    , m_store(m_settings.mechanisms)
+    , m_store(m_settings.mechanisms, m_hooks.takeSection)
     , m_pause(m_settings.lease, m_settings.confirmBound)
     , m_rumors(m_settings.self, RumorTtl)
     , m_retry(m_settings.retryMin)
     , m_listRetry(ListRetryMin)
 { }
 
+namespace {
+
+/// The batch of a platform that was away: what it lacks may come back at once.
+ChangeBatch withLapses(ChangeBatch batch)
+{
+    batch.lapses = true;
+    for (SectionChange &change : batch.changes) {
+        change.lapsed = change.removed;
+    }
+    return batch;
+}
+
+} // namespace
+
 void Dissemination::start(Instant now)
 {
     m_started = now;
@@ -79,7 +93,11 @@
     if (now >= m_nextGossip) {
         m_nextGossip = now + m_settings.gossipInterval;
         const bool unsure = !isReady(now) || m_pause.isSuspect(now);
-        tellSome(unsure ? PeersAskedAtStart : 1, true, now);
+        if (m_settings.asksReaders) {
+            askReaders(now);
+        }
+        const bool random = !m_settings.asksReaders || ++m_rounds % RoundsPerRandomPeer == 0;
+        tellSome(unsure ? PeersAskedAtStart : (random ? 1 : 0), true, now);
         if (m_pause.isSuspect(now)) {
             sendNotice(m_settings.self, false, 0, now);
         }
@@ -138,7 +156,9 @@
     const bool atLeastOurs = m_store.hasRoot() || !m_settings.mechanisms.askPeers;
     m_platformAnswered = true;
     m_platformAt = now;
-    take(batch, now);
+    const bool wasAway = m_platformFailedAt != Instant()
+        && now - m_platformFailedAt <= m_settings.lapseWindow;
+    take(wasAway ? withLapses(batch) : batch, now);
     // A first answer may be stale: it counts as confirmed only when there is no peer to ask.
     if (atLeastOurs && (m_confirmedOnce || alone)) {
         confirm(m_readSince);
@@ -148,6 +168,7 @@
 void Dissemination::onPlatformFailed(Instant now)
 {
     m_platformBusy = false;
+    m_platformFailedAt = now;
     ++m_counters.platformFailures;
     scheduleRetry(now);
 }
@@ -166,6 +187,21 @@
     if (!m_store.take(batch)) {
         return;
     }
+    findAgents();
+    if (m_hooks.onChange) {
+        m_hooks.onChange();
+    }
+    if (m_store.revision() > before) {
+        tellSome(m_settings.fanOut, false, now);
+    }
+}
+
+void Dissemination::findAgents()
+{
+    if (m_hooks.agents) {
+        m_agents = m_hooks.agents();
+        return;
+    }
     m_agents.clear();
     for (const auto &service : m_store.view().services()) {
         for (const Upstream &upstream : service->upstreams) {
@@ -176,11 +212,17 @@
             }
         }
     }
-    if (m_hooks.onChange) {
-        m_hooks.onChange();
-    }
-    if (m_store.revision() > before) {
-        tellSome(m_settings.fanOut, false, now);
+}
+
+void Dissemination::askReaders(Instant now)
+{
+    // The first reader is enough while it answers; a silent one costs one round.
+    const bool stale = platformAge(now) > m_settings.readerLease;
+    const std::size_t asked = std::min<std::size_t>(stale ? 2 : 1, m_readers.size());
+    for (std::size_t i = 0; i < asked; ++i) {
+        if (m_readers[i] != m_settings.self) {
+            sendNotice(m_readers[i], true, 0, now);
+        }
     }
 }
 
@@ -294,9 +336,13 @@
     const auto score = [&](const VmId &vm) {
         return hashPair(domain, hashBytes(vm.str()));
     };
-    m_rank = UnlistedRank;
+    m_rank = m_settings.unlistedRank;
     std::size_t ahead = 0;
+    std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
     for (const Vm &vm : vms) {
+        if (vm.domain == m_settings.domain && !vm.leaving) {
+            ranked.emplace_back(score(vm.id), vm.endpoint);
+        }
         if (vm.id == m_settings.vm) {
             m_rank = 0;
         } else if (vm.domain == m_settings.domain && !vm.leaving
@@ -305,6 +351,11 @@
         }
     }
     m_rank += ahead;
+    std::sort(ranked.begin(), ranked.end());
+    m_readers.clear();
+    for (const auto &[rank, endpoint] : ranked) {
+        m_readers.push_back(endpoint);
+    }
 }
 
 std::vector<Endpoint> Dissemination::peers() const
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -201,6 +201,7 @@
     report.limit = in.real();
     report.serviceTimeMs = static_cast<std::uint32_t>(in.number());
     report.draining = in.flag();
+    report.silentUpstream = in.flag();
     return report;
 }
 
@@ -335,11 +336,11 @@
 
 std::string encode(const LoadReport &report)
 {
-    constexpr std::uint32_t Fields = 8;
+    constexpr std::uint32_t Fields = 9;
     FieldWriter out(Kind::LoadReport, Fields);
     out.endpoint(report.sender).number(report.incarnation.value()).bytes(report.service.str());
     out.number(report.running).number(report.queued).real(report.limit);
-    out.number(report.serviceTimeMs).flag(report.draining);
+    out.number(report.serviceTimeMs).flag(report.draining).flag(report.silentUpstream);
     return out.take();
 }
 
--- a/src/net/json_codec.cpp
+++ b/src/net/json_codec.cpp
@@ -1,6 +1,6 @@
 #include <bergamotglade/detail/net/json_codec.hpp>
 
-#include <nlohmann/json.hpp>
+#include <bergamotglade/detail/net/json_guard.hpp>
 
 namespace bergamotglade {
 
@@ -8,19 +8,6 @@
 
 using nlohmann::json;
 
-/// Runs a reader; any fault of shape becomes an error with the library's text.
-template <typename T, typename Read>
-Result<T> guarded(std::string_view text, Read read)
-{
-    try {
-        return read(json::parse(text));
-    } catch (const json::parse_error &error) {
-        return Error {ErrorCode::BadJson, error.what(), error.byte};
-    } catch (const json::exception &error) {
-        return Error {ErrorCode::BadJson, error.what()};
-    }
-}
-
 } // namespace
 
 std::string toJson(const ChangeBatch &batch)
@@ -30,6 +17,7 @@
         json section {{"name", change.name.str()}, {"revision", change.revision.value()}};
         if (change.removed) {
             section["removed"] = true;
+            section["lapsed"] = change.lapsed;
         } else {
             section["text"] = change.text;
         }
@@ -43,7 +31,7 @@
 
 Result<ChangeBatch> batchFromJson(std::string_view text)
 {
-    return guarded<ChangeBatch>(text, [](const json &whole) {
+    return guardedJson<ChangeBatch>(text, [](const json &whole) {
         ChangeBatch batch;
         batch.since = Revision(whole.at("since").get<std::uint64_t>());
         batch.upTo = Revision(whole.at("revision").get<std::uint64_t>());
@@ -52,6 +40,7 @@
             change.name = SectionName(section.at("name").get<std::string>());
             change.revision = Revision(section.at("revision").get<std::uint64_t>());
             change.removed = section.value("removed", false);
+            change.lapsed = section.value("lapsed", false);
             change.text = section.value("text", std::string());
             batch.changes.push_back(std::move(change));
         }
@@ -74,7 +63,7 @@
 Result<std::vector<Vm>> vmsFromJson(std::string_view text)
 {
     std::vector<Error> faults;
-    auto vms = guarded<std::vector<Vm>>(text, [&](const json &whole) {
+    auto vms = guardedJson<std::vector<Vm>>(text, [&](const json &whole) {
         std::vector<Vm> list;
         for (const json &line : whole.at("vms")) {
             const auto endpoint = Endpoint::parse(line.at("endpoint").get<std::string>());
--- /dev/null
+++ b/src/steering/agent_steering.cpp
@@ -0,0 +1,568 @@
+#include <bergamotglade/detail/steering/agent_steering.hpp>
+
+#include <algorithm>
+
+namespace bergamotglade {
+
+namespace {
+
+/// Flows looked at for expiry in one tick.
+constexpr std::size_t SweepBudget = 256;
+/// Peers of the own service that get each load report, beside those that send flows here.
+constexpr std::size_t ReportedPeers = 3;
+/// Share of a new sample in the smoothed service time.
+constexpr double SampleShare = 0.1;
+
+bool isOpen(FlowStage stage)
+{
+    return stage == FlowStage::Offered || stage == FlowStage::Accepted || stage == FlowStage::Open;
+}
+
+bool isWaiting(const OwnedFlow &flow)
+{
+    return flow.stage == FlowStage::Offered || flow.stage == FlowStage::Accepted;
+}
+
+} // namespace
+
+AgentSteering::AgentSteering(AgentSteeringSettings settings, Directory &directory,
+                             PacketCodec codec, AgentSteeringHooks hooks, Random random,
+                             Instant now)
+    : m_settings(std::move(settings))
+    , m_directory(directory)
+    , m_codec(std::move(codec))
+    , m_hooks(std::move(hooks))
+    , m_random(random)
+    , m_board({}, std::move(random))
+    , m_startedAt(now)
+{ }
+
+// Packets of callers.
+
+void AgentSteering::onCallerPacket(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                                   Instant now)
+{
+    if (segment.opens) {
+        const bool isNew = m_senders.insert_or_assign(from, now).second;
+        if (isNew) {
+            m_nextReport = now;
+        }
+        onOpening(segment, std::move(bytes), now);
+    } else {
+        onContinuation(segment, std::move(bytes), now);
+    }
+}
+
+void AgentSteering::onOpening(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    const auto known = m_flows.find(segment.flow);
+    if (known != m_flows.end() && isOpen(known->second.stage) && !m_silent) {
+        // A copy: the upstream answers it again.
+        known->second.seen = now;
+        deliver(segment.flow, std::move(bytes), now);
+        return;
+    }
+    const RouteEntry *route = m_directory.routeAt(segment.flow.service);
+    if (route == nullptr || !m_hooks.mayAct(now)) {
+        // The sender may know a newer route; the caller sends a copy soon.
+        ++m_counters.silent;
+        return;
+    }
+    const std::string_view reason = whyNotHere(*route, segment.trail, now);
+    if (reason.empty()) {
+        take(segment, std::move(bytes), now);
+        return;
+    }
+    handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement, now);
+}
+
+std::string_view AgentSteering::whyNotHere(const RouteEntry &route, const Trail &trail,
+                                           Instant now)
+{
+    if (!Directory::allows(route, m_settings.service)) {
+        return "service is not of the route";
+    }
+    if (m_directory.isOut(m_settings.domain)) {
+        return "failure domain is out";
+    }
+    if (m_stopping) {
+        return "agent is stopping";
+    }
+    const KnownUpstream *self = m_directory.upstreamAt(m_settings.upstream);
+    if (self != nullptr && self->entry.leaving) {
+        return "upstream is leaving";
+    }
+    if (m_flows.size() >= m_settings.flowsMax) {
+        return "too many flows";
+    }
+    if (m_silent) {
+        if (now < m_probeAt) {
+            return "upstream is silent";
+        }
+        m_probeAt = now + m_settings.probeInterval;
+        return {};
+    }
+    const double coldRate = m_directory.coldPerSecond(m_settings.service);
+    const bool cold = self == nullptr || now < self->coldUntil;
+    if (cold && coldRate > 0 && !m_coldLimit.admit(coldRate, now)) {
+        return "upstream is cold";
+    }
+    const LoadEstimate own = load(now);
+    const bool full = own.running + own.queued >= own.limit * (1 + m_settings.queueShare);
+    if (!full || trail.hops >= m_settings.hopsMax) {
+        return {};
+    }
+    const auto better = m_board.clearlyBetter(own, now, [&](const Endpoint &agent) {
+        const KnownUpstream *peer = m_directory.upstreamOf(agent);
+        return agent != m_settings.self && peer != nullptr && m_directory.takesFlows(*peer);
+    });
+    return better ? "upstream is full" : std::string_view {};
+}
+
+void AgentSteering::take(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    drop(segment.flow);
+    OwnedFlow &flow = m_flows[segment.flow];
+    m_sweep.push_back(segment.flow);
+    flow.seen = now;
+    flow.offeredAt = now;
+    flow.trail = segment.trail;
+    flow.opening = bytes;
+    ++m_waiting;
+    ++m_counters.opened;
+    m_offered.push_back(segment.flow);
+    note("take", "room here", segment.flow, m_settings.upstream, now);
+    deliver(segment.flow, std::move(bytes), now);
+}
+
+void AgentSteering::handOn(const FlowKey &key, PacketBytes bytes, Trail trail,
+                           std::string_view reason, std::uint32_t acknowledgement, Instant now)
+{
+    const RouteEntry *route = m_directory.routeAt(key.service);
+    std::vector<Endpoint> others;
+    if (route != nullptr && trail.hops < m_settings.hopsMax) {
+        for (const auto &[id, known] : m_directory.upstreams()) {
+            if (known.entry.agent != m_settings.self && m_directory.takesFlows(known)
+                && Directory::allows(*route, known.entry.service)
+                && !m_board.isDraining(known.entry.agent)) {
+                others.push_back(known.entry.agent);
+            }
+        }
+    }
+    // Two random ones, the less loaded of both: a sure best would get all that others hand on.
+    const Endpoint *best = nullptr;
+    double bestMs = 0;
+    for (std::size_t i = 0; i < 2 && !others.empty(); ++i) {
+        const Endpoint &agent = others[below(m_random, others.size())];
+        const double ms = m_board.estimate(agent, now).expectedMs();
+        if (best == nullptr || ms < bestMs) {
+            best = &agent;
+            bestMs = ms;
+        }
+    }
+    if (best == nullptr) {
+        ++m_counters.resetRefused;
+        reset(key, acknowledgement, reason, now);
+        return;
+    }
+    ++trail.hops;
+    ++m_counters.handedOn;
+    m_board.onSent(*best);
+    drop(key);
+    OwnedFlow &moved = m_flows[key];
+    m_sweep.push_back(key);
+    moved.stage = FlowStage::Moved;
+    moved.movedTo = *best;
+    moved.seen = now;
+    m_codec.setTrail(bytes, key, trail);
+    note("hand on", reason, key, *best, now);
+    m_hooks.toAgent(*best, bytes);
+}
+
+void AgentSteering::onContinuation(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    const auto found = m_flows.find(segment.flow);
+    if (found == m_flows.end()) {
+        if (mayHoldUnknown(now)) {
+            // The upstream returns what it does not hold, and the search goes on.
+            deliver(segment.flow, std::move(bytes), now);
+        } else {
+            passOn(segment, std::move(bytes), "not owned here", now);
+        }
+        return;
+    }
+    OwnedFlow &flow = found->second;
+    flow.seen = now;
+    if (flow.stage == FlowStage::Moved) {
+        ++m_counters.passedOn;
+        m_hooks.toAgent(flow.movedTo, bytes);
+        return;
+    }
+    if (!flow.continues(segment)) {
+        drop(segment.flow);
+        passOn(segment, std::move(bytes), "another upstream was acknowledged", now);
+        return;
+    }
+    flow.callerAcknowledgement = segment.acknowledgement;
+    if (isWaiting(flow)) {
+        --m_waiting;
+        flow.stage = FlowStage::Open;
+        flow.opening.clear();
+    }
+    if (m_crashed && segment.dataBytes > 0) {
+        drop(segment.flow);
+        ++m_counters.resetCrashed;
+        reset(segment.flow, segment.acknowledgement, "upstream has crashed", now);
+        return;
+    }
+    if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
+        setBusy(flow, true, now);
+    }
+    if (segment.resets) {
+        drop(segment.flow);
+    }
+    deliver(segment.flow, std::move(bytes), now);
+}
+
+bool AgentSteering::mayHoldUnknown(Instant now) const
+{
+    return now - m_startedAt < m_settings.flowMax && !m_silent;
+}
+
+void AgentSteering::passOn(const Segment &segment, PacketBytes bytes, std::string_view reason,
+                           Instant now)
+{
+    const RouteEntry *route = m_directory.routeAt(segment.flow.service);
+    if (route == nullptr || segment.resets) {
+        ++m_counters.silent;
+        return;
+    }
+    const auto holders = m_directory.holders(*route, segment.flow);
+    Trail trail = segment.trail;
+    trail.incomplete |= m_silent && !m_crashed;
+    while (trail.position < holders.size() && holders[trail.position] == m_settings.self) {
+        ++trail.position;
+    }
+    if (trail.position >= holders.size()) {
+        onUnclaimed(segment, trail, now);
+        return;
+    }
+    const Endpoint next = holders[trail.position];
+    ++trail.position;
+    ++trail.hops;
+    ++m_counters.passedOn;
+    m_codec.setTrail(bytes, segment.flow, trail);
+    note("pass on", reason, segment.flow, next, now);
+    m_hooks.toAgent(next, bytes);
+}
+
+void AgentSteering::onUnclaimed(const Segment &segment, const Trail &trail, Instant now)
+{
+    const auto [at, isNew] = m_failedSearches.try_emplace(segment.flow, FailedSearch {now, now});
+    at->second.last = now;
+    const bool again = !isNew && now - at->second.first >= m_settings.searchAgain;
+    if (!again || trail.incomplete || !m_hooks.mayAct(now)) {
+        ++m_counters.silent;
+        note("drop", "no upstream holds the flow, asked once", segment.flow, {}, now);
+        return;
+    }
+    m_failedSearches.erase(at);
+    ++m_counters.resetUnclaimed;
+    reset(segment.flow, segment.acknowledgement, "no upstream holds the flow", now);
+}
+
+void AgentSteering::deliver(const FlowKey & /*key*/, PacketBytes bytes, Instant now)
+{
+    ++m_counters.delivered;
+    if (m_unanswered++ == 0) {
+        m_unansweredSince = now;
+    }
+    m_hooks.toUpstream(bytes);
+}
+
+void AgentSteering::reset(const FlowKey &key, std::uint32_t acknowledgement,
+                          std::string_view reason, Instant now)
+{
+    note("reset", reason, key, key.caller, now);
+    m_hooks.toCaller(key.caller, m_codec.makeReset(key, acknowledgement));
+}
+
+// Packets of the upstream.
+
+void AgentSteering::onUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    onUpstreamHeard(now);
+    if (segment.returned) {
+        onReturned(segment, std::move(bytes), now);
+        return;
+    }
+    ++m_counters.toCallers;
+    const auto [at, isNew] = m_flows.try_emplace(segment.flow);
+    OwnedFlow &flow = at->second;
+    if (isNew) {
+        // The upstream speaks for a flow that a former life of this agent knew.
+        flow.stage = FlowStage::Open;
+        m_sweep.push_back(segment.flow);
+    }
+    flow.seen = now;
+    if (segment.opens) {
+        flow.upstreamSequence = segment.sequence;
+        if (flow.stage == FlowStage::Offered) {
+            flow.stage = FlowStage::Accepted;
+        }
+    }
+    if (segment.dataBytes > 0) {
+        setBusy(flow, false, now);
+    }
+    if (segment.finishes || segment.resets) {
+        setBusy(flow, false, now);
+        if (isWaiting(flow)) {
+            --m_waiting;
+        }
+        flow.stage = FlowStage::Ended;
+    }
+    m_hooks.toCaller(segment.flow.caller, bytes);
+}
+
+void AgentSteering::onReturned(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    ++m_counters.returned;
+    const auto found = m_flows.find(segment.flow);
+    // What was handed on meanwhile comes back late; the other agent has it.
+    const bool moved = found != m_flows.end() && found->second.stage == FlowStage::Moved;
+    if (moved) {
+        return;
+    }
+    if (!segment.opens) {
+        drop(segment.flow);
+        passOn(segment, std::move(bytes), "upstream does not hold the flow", now);
+        return;
+    }
+    drop(segment.flow);
+    handOn(segment.flow, std::move(bytes), segment.trail, "upstream would not take the flow",
+           segment.acknowledgement, now);
+    m_nextReport = now;
+}
+
+void AgentSteering::onUpstreamHeard(Instant now)
+{
+    m_unanswered = 0;
+    if (m_silent) {
+        m_silent = false;
+        m_crashed = false;
+        m_nextReport = now;
+        note("upstream answers", "heard again", {}, m_settings.upstream, now);
+    }
+}
+
+void AgentSteering::setBusy(OwnedFlow &flow, bool busy, Instant now)
+{
+    if (flow.busy == busy) {
+        return;
+    }
+    flow.busy = busy;
+    if (busy) {
+        flow.busySince = now;
+        ++m_busy;
+        return;
+    }
+    --m_busy;
+    const auto sample = static_cast<double>((now - flow.busySince).count());
+    m_serviceTimeMs =
+        m_serviceTimeMs == 0 ? sample : m_serviceTimeMs + SampleShare * (sample - m_serviceTimeMs);
+}
+
+void AgentSteering::drop(const FlowKey &key)
+{
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end()) {
+        return;
+    }
+    if (found->second.busy) {
+        --m_busy;
+    }
+    if (isWaiting(found->second)) {
+        --m_waiting;
+    }
+    m_flows.erase(found);
+}
+
+// Time.
+
+void AgentSteering::onTick(Instant now)
+{
+    checkIncarnation(now);
+    checkOffers(now);
+    checkCrash(now);
+    forgetOld(now);
+    sendReports(now, false);
+}
+
+void AgentSteering::checkOffers(Instant now)
+{
+    while (!m_offered.empty()) {
+        const FlowKey key = m_offered.front();
+        const auto found = m_flows.find(key);
+        const bool waits = found != m_flows.end() && found->second.stage == FlowStage::Offered;
+        if (waits && now - found->second.offeredAt < m_settings.offerTimeout) {
+            break;
+        }
+        m_offered.pop_front();
+        if (!waits) {
+            continue;
+        }
+        if (!m_silent) {
+            m_silent = true;
+            ++m_counters.upstreamSilences;
+            m_nextReport = now;
+            m_probeAt = now + m_settings.probeInterval;
+            note("upstream is silent", "no answer to an opening packet", key, m_settings.upstream,
+                 now);
+        }
+        const PacketBytes opening = found->second.opening;
+        const Trail trail = found->second.trail;
+        handOn(key, opening, trail, "upstream is silent", 0, now);
+    }
+}
+
+void AgentSteering::checkCrash(Instant now)
+{
+    const bool crashed = m_silent && m_unanswered >= m_settings.crashPackets
+        && now - m_unansweredSince >= m_settings.crashTime;
+    if (!crashed || m_crashed) {
+        return;
+    }
+    m_crashed = true;
+    std::vector<std::pair<FlowKey, std::uint32_t>> lost;
+    for (const auto &[key, flow] : m_flows) {
+        if (flow.stage == FlowStage::Open && flow.seen <= m_unansweredSince + m_settings.crashTime) {
+            lost.emplace_back(key, flow.callerAcknowledgement);
+        }
+    }
+    for (const auto &[key, acknowledgement] : lost) {
+        drop(key);
+        ++m_counters.resetCrashed;
+        reset(key, acknowledgement, "upstream has crashed", now);
+    }
+}
+
+void AgentSteering::checkIncarnation(Instant now)
+{
+    const KnownUpstream *self = m_directory.upstreamAt(m_settings.upstream);
+    if (self == nullptr || m_upstreamStart == self->entry.startedAt) {
+        return;
+    }
+    const bool restarted = m_upstreamStart.has_value();
+    m_upstreamStart = self->entry.startedAt;
+    if (restarted) {
+        note("upstream restarted", "its entry names a new life", {}, m_settings.upstream, now);
+    }
+}
+
+void AgentSteering::forgetOld(Instant now)
+{
+    for (std::size_t i = std::min(SweepBudget, m_sweep.size()); i > 0; --i) {
+        const FlowKey key = m_sweep.front();
+        m_sweep.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end()) {
+            continue;
+        }
+        const bool ended = found->second.stage == FlowStage::Ended;
+        if (now - found->second.seen > (ended ? m_settings.endedLinger : m_settings.idle)) {
+            drop(key);
+        } else {
+            m_sweep.push_back(key);
+        }
+    }
+    std::erase_if(m_failedSearches,
+                  [&](const auto &s) { return now - s.second.last > m_settings.searchMemory; });
+}
+
+void AgentSteering::sendReports(Instant now, bool atOnce)
+{
+    if (now < m_nextReport && !atOnce) {
+        return;
+    }
+    m_nextReport = now + m_settings.reportInterval;
+    std::erase_if(m_senders,
+                  [&](const auto &s) { return now - s.second > m_settings.reportMemory; });
+    const LoadEstimate own = load(now);
+    LoadReport report;
+    report.sender = m_settings.self;
+    report.incarnation = m_settings.incarnation;
+    report.service = m_settings.service;
+    report.running = static_cast<std::uint32_t>(own.running);
+    report.queued = static_cast<std::uint32_t>(own.queued);
+    report.limit = own.limit;
+    report.serviceTimeMs = static_cast<std::uint32_t>(own.serviceTimeMs);
+    report.draining = m_stopping;
+    report.silentUpstream = m_silent;
+    std::size_t sent = 0;
+    for (const auto &[process, seen] : m_senders) {
+        if (sent++ < m_settings.reportTargetsMax) {
+            m_hooks.report(process, report);
+        }
+    }
+    std::vector<Endpoint> peers;
+    for (const auto &[id, known] : m_directory.upstreams()) {
+        const Endpoint &agent = known.entry.agent;
+        if (known.entry.service == m_settings.service && agent != m_settings.self
+            && !m_senders.contains(agent)) {
+            peers.push_back(agent);
+        }
+    }
+    for (std::size_t i = 0; i < ReportedPeers && !peers.empty(); ++i) {
+        const std::size_t at = below(m_random, peers.size());
+        m_hooks.report(peers[at], report);
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+}
+
+void AgentSteering::stop(Instant now)
+{
+    m_stopping = true;
+    sendReports(now, true);
+}
+
+void AgentSteering::onLoadReport(const LoadReport &report, Instant now)
+{
+    if (report.service == m_settings.service) {
+        LoadReport known = report;
+        known.draining |= report.silentUpstream;
+        m_board.onReport(known, now);
+    }
+}
+
+// State.
+
+std::size_t AgentSteering::openCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(),
+                                                  [](const auto &f) {
+                                                      return isOpen(f.second.stage);
+                                                  }));
+}
+
+LoadEstimate AgentSteering::load(Instant /*now*/) const
+{
+    return {static_cast<double>(m_busy), static_cast<double>(m_waiting),
+            static_cast<double>(slots()), m_serviceTimeMs};
+}
+
+std::uint32_t AgentSteering::slots() const
+{
+    const KnownUpstream *self = m_directory.upstreamAt(m_settings.upstream);
+    return self == nullptr ? 1 : std::max(1U, self->entry.slots);
+}
+
+void AgentSteering::note(std::string_view decision, std::string_view reason, const FlowKey &flow,
+                         const Endpoint &target, Instant now)
+{
+    if (m_hooks.log) {
+        m_hooks.log({decision, reason, flow, target, m_directory.version(), load(now).use(),
+                     m_board.ageOf(target, now)});
+    }
+}
+
+} // namespace bergamotglade
--- /dev/null
+++ b/src/steering/balancer_steering.cpp
@@ -0,0 +1,258 @@
+#include <bergamotglade/detail/steering/balancer_steering.hpp>
+
+#include <algorithm>
+
+namespace bergamotglade {
+
+namespace {
+
+/// Flows looked at for expiry in one tick.
+constexpr std::size_t SweepBudget = 256;
+
+bool contains(const std::vector<Endpoint> &list, const Endpoint &agent)
+{
+    return std::find(list.begin(), list.end(), agent) != list.end();
+}
+
+} // namespace
+
+BalancerSteering::BalancerSteering(BalancerSteeringSettings settings, Directory &directory,
+                                   PacketCodec codec, BalancerSteeringHooks hooks, Random random)
+    : m_settings(settings)
+    , m_directory(directory)
+    , m_codec(std::move(codec))
+    , m_hooks(std::move(hooks))
+    , m_board({}, std::move(random))
+{ }
+
+void BalancerSteering::onPacket(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    if (!m_directory.hasRoutes()) {
+        ++m_counters.silent;
+        return;
+    }
+    const RouteEntry *route = m_directory.routeAt(segment.flow.service);
+    if (route == nullptr) {
+        refuse(segment, "no route", now);
+        return;
+    }
+    if (segment.opens) {
+        open(segment, std::move(bytes), now);
+        return;
+    }
+    const auto found = m_flows.find(segment.flow);
+    if (found == m_flows.end()) {
+        search(segment, *route, std::move(bytes), now);
+        return;
+    }
+    Placed &flow = found->second;
+    flow.seen = now;
+    flow.confirmed = true;
+    flow.opening.clear();
+    ++m_counters.forwarded;
+    m_hooks.forward(flow.agent, bytes);
+}
+
+void BalancerSteering::open(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    // A view that a pause has made old must not place anything.
+    if (!m_hooks.mayAct(now)) {
+        ++m_counters.silent;
+        return;
+    }
+    if (m_routesSince == Instant()) {
+        m_routesSince = now;
+    }
+    const RouteEntry &route = *m_directory.routeAt(segment.flow.service);
+    const auto [at, isNew] = m_flows.try_emplace(segment.flow);
+    Placed &flow = at->second;
+    flow.seen = now;
+    if (isNew) {
+        m_sweep.push_back(segment.flow);
+    } else if (flow.confirmed || now - flow.offeredAt < m_settings.offerTimeout) {
+        // A copy of the opening packet that crossed the answer.
+        ++m_counters.forwarded;
+        m_hooks.forward(flow.agent, bytes);
+        return;
+    } else if (flow.tried.size() >= m_settings.offersMax) {
+        flow.tried.clear();
+    }
+    flow.opening = std::move(bytes);
+    offer(segment.flow, route, flow, isNew ? "new flow" : "copy of the opening packet", now);
+    if (flow.tried.empty()) {
+        m_flows.erase(segment.flow);
+        if (now - m_routesSince < m_settings.settling) {
+            ++m_counters.silent;
+            return;
+        }
+        refuse(segment, "no upstream takes flows", now);
+    }
+}
+
+void BalancerSteering::offer(const FlowKey &key, const RouteEntry &route, Placed &flow,
+                             std::string_view reason, Instant now)
+{
+    const auto agent = choose(key, route, flow.tried, now);
+    if (!agent) {
+        return;
+    }
+    flow.agent = *agent;
+    flow.tried.push_back(*agent);
+    flow.offeredAt = now;
+    m_offered.push_back(key);
+    ++m_counters.placed;
+    m_board.onSent(*agent);
+    note("offer", reason, key, *agent, now);
+    m_hooks.forward(*agent, flow.opening);
+}
+
+std::optional<Endpoint> BalancerSteering::choose(const FlowKey &key, const RouteEntry &route,
+                                                 const std::vector<Endpoint> &tried, Instant now)
+{
+    const ServiceTable *table = m_directory.table(Directory::serviceFor(route, key));
+    if (table == nullptr) {
+        return std::nullopt;
+    }
+    std::vector<Endpoint> near;
+    for (const Endpoint &agent : table->candidates(bucketOf(key))) {
+        if (!contains(tried, agent) && !isDoubted(agent, now)) {
+            near.push_back(agent);
+        }
+    }
+    const auto best = leastLoaded(near, now);
+    if (best && m_board.estimate(*best, now).use() <= 1) {
+        return best;
+    }
+    // Flows stay among the first candidates, where a search finds them soon, until those are full.
+    std::vector<Endpoint> all;
+    std::vector<Endpoint> doubted;
+    for (const Upstream &upstream : table->service().upstreams) {
+        const KnownUpstream *known = m_directory.upstreamOf(upstream.agent);
+        if (known != nullptr && m_directory.takesFlows(*known)
+            && !contains(tried, upstream.agent)) {
+            (isDoubted(upstream.agent, now) ? doubted : all).push_back(upstream.agent);
+        }
+    }
+    const auto other = leastLoaded(all, now);
+    return other ? other : leastLoaded(doubted, now);
+}
+
+std::optional<Endpoint> BalancerSteering::leastLoaded(const std::vector<Endpoint> &agents,
+                                                      Instant now) const
+{
+    const Endpoint *best = nullptr;
+    double bestMs = 0;
+    for (const Endpoint &agent : agents) {
+        const double ms = m_board.estimate(agent, now).expectedMs();
+        if (best == nullptr || ms < bestMs) {
+            best = &agent;
+            bestMs = ms;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+void BalancerSteering::search(const Segment &segment, const RouteEntry &route, PacketBytes bytes,
+                              Instant now)
+{
+    // A reset or a lone end of a flow that nothing is known of is not worth a search.
+    if (segment.resets) {
+        ++m_counters.silent;
+        return;
+    }
+    const auto holders = m_directory.holders(route, segment.flow);
+    if (holders.empty()) {
+        ++m_counters.silent;
+        return;
+    }
+    ++m_counters.searched;
+    Trail trail;
+    trail.position = 1;
+    m_codec.setTrail(bytes, segment.flow, trail);
+    note("search", "owner unknown", segment.flow, holders.front(), now);
+    m_hooks.forward(holders.front(), bytes);
+}
+
+void BalancerSteering::refuse(const Segment &segment, std::string_view reason, Instant now)
+{
+    if (segment.resets) {
+        return;
+    }
+    // What is not confirmed may be older than the caller's packet.
+    if (!m_hooks.mayAct(now)) {
+        ++m_counters.silent;
+        return;
+    }
+    ++(reason == "no route" ? m_counters.resetNoRoute : m_counters.resetNoUpstream);
+    note("reset", reason, segment.flow, segment.flow.caller, now);
+    m_hooks.reset(segment.flow.caller, m_codec.makeReset(segment.flow, segment.acknowledgement));
+}
+
+void BalancerSteering::onLoadReport(const LoadReport &report, Instant now)
+{
+    m_board.onReport(report, now);
+    if (report.draining || report.silentUpstream) {
+        m_doubtedUntil[report.sender] = now + m_settings.doubt;
+    } else {
+        m_doubtedUntil.erase(report.sender);
+    }
+}
+
+bool BalancerSteering::isDoubted(const Endpoint &agent, Instant now) const
+{
+    const auto found = m_doubtedUntil.find(agent);
+    return found != m_doubtedUntil.end() && now < found->second;
+}
+
+void BalancerSteering::onTick(Instant now)
+{
+    while (!m_offered.empty()) {
+        const FlowKey key = m_offered.front();
+        const auto found = m_flows.find(key);
+        const bool waits = found != m_flows.end() && !found->second.confirmed;
+        if (waits && now - found->second.offeredAt < m_settings.offerTimeout) {
+            break;
+        }
+        m_offered.pop_front();
+        if (!waits) {
+            continue;
+        }
+        Placed &flow = found->second;
+        m_doubtedUntil[flow.agent] = now + m_settings.doubt;
+        const RouteEntry *route = m_directory.routeAt(key.service);
+        if (route != nullptr && flow.tried.size() < m_settings.offersMax && m_hooks.mayAct(now)) {
+            ++m_counters.reoffered;
+            offer(key, *route, flow, "no answer to the offer", now);
+        }
+    }
+    forgetIdle(now);
+}
+
+void BalancerSteering::forgetIdle(Instant now)
+{
+    for (std::size_t i = std::min(SweepBudget, m_sweep.size()); i > 0; --i) {
+        const FlowKey key = m_sweep.front();
+        m_sweep.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end()) {
+            continue;
+        }
+        const bool idle = now - found->second.seen > m_settings.idle;
+        if (idle || m_flows.size() > m_settings.flowsMax) {
+            m_flows.erase(found);
+        } else {
+            m_sweep.push_back(key);
+        }
+    }
+}
+
+void BalancerSteering::note(std::string_view decision, std::string_view reason, const FlowKey &flow,
+                            const Endpoint &target, Instant now)
+{
+    if (m_hooks.log) {
+        m_hooks.log({decision, reason, flow, target, m_directory.version(),
+                     m_board.estimate(target, now).use(), m_board.ageOf(target, now)});
+    }
+}
+
+} // namespace bergamotglade
--- /dev/null
+++ b/src/steering/directory.cpp
@@ -0,0 +1,294 @@
+#include <bergamotglade/detail/steering/directory.hpp>
+
+#include <algorithm>
+
+namespace bergamotglade {
+
+namespace {
+
+/// Seed of the hash that picks a service, apart from the one that picks upstreams.
+constexpr std::uint64_t SplitSeed = 0x5e41ce;
+/// Services of a view are sections of their own; one order serves all, as no two share a name.
+constexpr std::size_t ServiceOrder = 1;
+
+Finding badSection(const SectionChange &change, const Error &error)
+{
+    return {FindingCode::WrongType, Severity::Error,
+            Place {change.name.str(), change.name.str(), 0, 0}, describe(error)};
+}
+
+} // namespace
+
+Directory::Directory(DirectorySettings settings)
+    : m_settings(settings)
+{ }
+
+Findings Directory::take(const SectionChange &change, Instant now)
+{
+    const std::string &name = change.name.str();
+    if (change.name == RootName) {
+        return takeRoutes(change, now);
+    }
+    if (name.starts_with(UpstreamPrefix)) {
+        return takeUpstream(change, now);
+    }
+    if (name.starts_with(DomainPrefix)) {
+        takeDomain(change);
+        return {};
+    }
+    return {badSection(change, {ErrorCode::BadDocument, "a section of no known kind"})};
+}
+
+Findings Directory::takeRoutes(const SectionChange &change, Instant now)
+{
+    // The last good routes stay in force: without any, all traffic would stop.
+    auto document = decodeRoutes(change.text);
+    if (change.removed || !document) {
+        const Error error = document ? Error {ErrorCode::BadDocument, "the routes were removed"}
+                                     : document.error();
+        return {badSection(change, error)};
+    }
+    std::unordered_map<Endpoint, RouteEntry> routes;
+    for (RouteEntry &route : document.value().routes) {
+        const Endpoint address = route.address;
+        routes.insert_or_assign(address, std::move(route));
+    }
+    for (const auto &[address, before] : m_routes) {
+        const auto after = routes.find(address);
+        if (after == routes.end()) {
+            m_former.erase(address);
+            continue;
+        }
+        for (const WeightedService &service : before.services) {
+            if (!allows(after->second, service.name)) {
+                m_former[address].push_back({service.name, now + m_settings.formerServices});
+            }
+        }
+    }
+    m_routes = std::move(routes);
+    m_coldPerSecond.clear();
+    for (const ServicePolicy &service : document.value().services) {
+        m_coldPerSecond[service.name] = service.coldPerSecond;
+    }
+    m_version = document.value().version;
+    return {};
+}
+
+Findings Directory::takeUpstream(const SectionChange &change, Instant now)
+{
+    const UpstreamId id(change.name.str().substr(UpstreamPrefix.size()));
+    const auto known = m_upstreams.find(id);
+    if (change.removed) {
+        if (known == m_upstreams.end()) {
+            return {};
+        }
+        if (change.lapsed && !known->second.entry.leaving) {
+            known->second.goneAt = now + m_settings.lapseGrace;
+        } else {
+            erase(id);
+        }
+        return {};
+    }
+    auto entry = decodeUpstream(change.text);
+    if (!entry || entry.value().id != id) {
+        erase(id);
+        return {badSection(change,
+                           entry ? Error {ErrorCode::BadDocument, "the id is another one"}
+                                 : entry.error())};
+    }
+    // An address belongs to whoever registered it last.
+    const auto holder = m_byAddress.find(entry.value().address);
+    if (holder != m_byAddress.end() && holder->second != id) {
+        erase(UpstreamId(holder->second));
+    }
+    const std::optional<ServiceName> before = known == m_upstreams.end()
+        ? std::nullopt
+        : std::optional(known->second.entry.service);
+    if (before) {
+        m_byAddress.erase(m_upstreams[id].entry.address);
+        m_byAgent.erase(m_upstreams[id].entry.agent);
+    }
+    KnownUpstream upstream;
+    upstream.entry = std::move(entry.value());
+    upstream.coldUntil = now + upstream.entry.coldFor;
+    m_byAddress[upstream.entry.address] = id;
+    m_byAgent[upstream.entry.agent] = id;
+    const ServiceName service = upstream.entry.service;
+    m_upstreams[id] = std::move(upstream);
+    rebuild(service);
+    if (before && *before != service) {
+        rebuild(*before);
+    }
+    return {};
+}
+
+void Directory::takeDomain(const SectionChange &change)
+{
+    if (change.removed) {
+        m_view.remove(change.name);
+    } else {
+        Section section;
+        section.name = change.name;
+        section.domains.push_back(
+            {FailureDomainId(change.name.str().substr(DomainPrefix.size())), AdminState::Out, {}});
+        m_view.put(section, ServiceOrder);
+    }
+    rebuildAll();
+}
+
+void Directory::erase(const UpstreamId &id)
+{
+    const auto known = m_upstreams.find(id);
+    if (known == m_upstreams.end()) {
+        return;
+    }
+    const ServiceName service = known->second.entry.service;
+    m_byAddress.erase(known->second.entry.address);
+    m_byAgent.erase(known->second.entry.agent);
+    m_upstreams.erase(known);
+    rebuild(service);
+}
+
+bool Directory::expire(Instant now)
+{
+    std::vector<UpstreamId> gone;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.goneAt != Instant() && now >= upstream.goneAt) {
+            gone.push_back(id);
+        }
+    }
+    for (const UpstreamId &id : gone) {
+        erase(id);
+    }
+    for (auto &[address, former] : m_former) {
+        std::erase_if(former, [&](const Former &f) { return now >= f.until; });
+    }
+    std::erase_if(m_former, [](const auto &f) { return f.second.empty(); });
+    return !gone.empty();
+}
+
+void Directory::rebuild(const ServiceName &service)
+{
+    Section section;
+    section.name = SectionName("service/" + service.str());
+    Service merged;
+    merged.name = service;
+    for (const auto &[id, known] : m_upstreams) {
+        if (known.entry.service == service) {
+            Upstream upstream;
+            upstream.id = id;
+            upstream.domain = known.entry.domain;
+            upstream.agent = known.entry.agent;
+            upstream.state = known.entry.leaving ? AdminState::Out : AdminState::In;
+            merged.upstreams.push_back(std::move(upstream));
+        }
+    }
+    m_tables.erase(service);
+    if (merged.upstreams.empty()) {
+        m_view.remove(section.name);
+        return;
+    }
+    section.services.push_back(std::move(merged));
+    m_view.put(section, ServiceOrder);
+    const ServiceTable table(m_view.service(service), m_view, rendezvousScore);
+    if (table.usable() > 0) {
+        m_tables.emplace(service, table);
+    }
+}
+
+void Directory::rebuildAll()
+{
+    for (const auto &service : m_view.services()) {
+        rebuild(ServiceName(service->name));
+    }
+}
+
+const RouteEntry *Directory::routeAt(const Endpoint &address) const
+{
+    const auto found = m_routes.find(address);
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
+ServiceName Directory::serviceFor(const RouteEntry &route, const FlowKey &flow)
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &service : route.services) {
+        total += service.weight.value();
+    }
+    if (total == 0) {
+        return route.services.empty() ? ServiceName() : route.services.front().name;
+    }
+    std::uint64_t pick = hashPair(flow.hash(), SplitSeed) % total;
+    for (const WeightedService &service : route.services) {
+        if (pick < service.weight.value()) {
+            return service.name;
+        }
+        pick -= service.weight.value();
+    }
+    return route.services.back().name;
+}
+
+const ServiceTable *Directory::table(const ServiceName &service) const
+{
+    const auto found = m_tables.find(service);
+    return found == m_tables.end() ? nullptr : &found->second;
+}
+
+std::vector<Endpoint> Directory::holders(const RouteEntry &route, const FlowKey &flow) const
+{
+    std::vector<ServiceName> services;
+    for (const WeightedService &service : route.services) {
+        services.push_back(service.name);
+    }
+    const auto former = m_former.find(route.address);
+    if (former != m_former.end()) {
+        for (const Former &f : former->second) {
+            services.push_back(f.service);
+        }
+    }
+    std::vector<std::pair<double, Endpoint>> ranked;
+    const Bucket bucket = bucketOf(flow);
+    for (const auto &[id, known] : m_upstreams) {
+        if (std::find(services.begin(), services.end(), known.entry.service) != services.end()) {
+            const double score = rendezvousScore(hashBytes(id.str()), bucket, Weight(1));
+            ranked.emplace_back(-score, known.entry.agent);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<Endpoint> agents;
+    for (const auto &[score, agent] : ranked) {
+        agents.push_back(agent);
+    }
+    return agents;
+}
+
+bool Directory::allows(const RouteEntry &route, const ServiceName &service)
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [&](const WeightedService &s) { return s.name == service; });
+}
+
+const KnownUpstream *Directory::upstreamAt(const Endpoint &address) const
+{
+    const auto found = m_byAddress.find(address);
+    return found == m_byAddress.end() ? nullptr : &m_upstreams.at(found->second);
+}
+
+const KnownUpstream *Directory::upstreamOf(const Endpoint &agent) const
+{
+    const auto found = m_byAgent.find(agent);
+    return found == m_byAgent.end() ? nullptr : &m_upstreams.at(found->second);
+}
+
+bool Directory::takesFlows(const KnownUpstream &upstream) const
+{
+    return !upstream.entry.leaving && !m_view.isOut(upstream.entry.domain);
+}
+
+double Directory::coldPerSecond(const ServiceName &service) const
+{
+    const auto found = m_coldPerSecond.find(service);
+    return found == m_coldPerSecond.end() ? 0 : found->second;
+}
+
+} // namespace bergamotglade
--- /dev/null
+++ b/src/steering/entries.cpp
@@ -0,0 +1,97 @@
+#include <bergamotglade/detail/steering/entries.hpp>
+
+#include <bergamotglade/detail/net/json_guard.hpp>
+
+namespace bergamotglade {
+
+namespace {
+
+using nlohmann::json;
+
+/// Failed reads of addresses leave the guarded reader as exceptions of this type.
+Endpoint endpointAt(const json &object, const char *key)
+{
+    const auto endpoint = Endpoint::parse(object.at(key).get_ref<const std::string &>());
+    if (!endpoint) {
+        throw BadValue(describe(endpoint.error()));
+    }
+    return endpoint.value();
+}
+
+} // namespace
+
+std::string encode(const RouteDocument &document)
+{
+    json routes = json::array();
+    for (const RouteEntry &route : document.routes) {
+        json services = json::array();
+        for (const WeightedService &service : route.services) {
+            services.push_back({{"name", service.name.str()}, {"weight", service.weight.value()}});
+        }
+        routes.push_back({{"address", route.address.str()}, {"services", std::move(services)}});
+    }
+    json services = json::array();
+    for (const ServicePolicy &service : document.services) {
+        services.push_back(
+            {{"name", service.name.str()}, {"cold_per_second", service.coldPerSecond}});
+    }
+    return json {{"version", document.version},
+                 {"routes", std::move(routes)},
+                 {"services", std::move(services)}}
+        .dump();
+}
+
+std::string encode(const UpstreamEntry &entry)
+{
+    return json {{"id", entry.id.str()},
+                 {"service", entry.service.str()},
+                 {"domain", entry.domain.str()},
+                 {"agent", entry.agent.str()},
+                 {"address", entry.address.str()},
+                 {"slots", entry.slots},
+                 {"leaving", entry.leaving},
+                 {"cold_ms", entry.coldFor.count()},
+                 {"started_at", entry.startedAt}}
+        .dump();
+}
+
+Result<RouteDocument> decodeRoutes(std::string_view text)
+{
+    return guardedJson<RouteDocument>(text, [](const json &whole) {
+        RouteDocument document;
+        document.version = whole.at("version").get<std::uint64_t>();
+        for (const json &line : whole.at("routes")) {
+            RouteEntry route;
+            route.address = endpointAt(line, "address");
+            for (const json &service : line.at("services")) {
+                route.services.push_back({ServiceName(service.at("name").get<std::string>()),
+                                          Weight(service.at("weight").get<std::uint32_t>())});
+            }
+            document.routes.push_back(std::move(route));
+        }
+        for (const json &service : whole.at("services")) {
+            document.services.push_back({ServiceName(service.at("name").get<std::string>()),
+                                         service.at("cold_per_second").get<double>()});
+        }
+        return document;
+    });
+}
+
+Result<UpstreamEntry> decodeUpstream(std::string_view text)
+{
+    return guardedJson<UpstreamEntry>(text, [](const json &whole) {
+        UpstreamEntry entry;
+        entry.id = UpstreamId(whole.at("id").get<std::string>());
+        entry.service = ServiceName(whole.at("service").get<std::string>());
+        entry.domain = FailureDomainId(whole.at("domain").get<std::string>());
+        entry.agent = endpointAt(whole, "agent");
+        entry.address = endpointAt(whole, "address");
+        entry.slots = whole.at("slots").get<std::uint32_t>();
+        entry.leaving = whole.at("leaving").get<bool>();
+        entry.coldFor = Millis(whole.at("cold_ms").get<std::int64_t>());
+        entry.startedAt = whole.at("started_at").get<std::uint64_t>();
+        return entry;
+    });
+}
+
+} // namespace bergamotglade
