--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -115,12 +115,15 @@
     [[nodiscard]] bool isReady(Instant now) const;
     [[nodiscard]] bool isReader() const noexcept { return m_isReader; }
     [[nodiscard]] Millis platformAge(Instant now) const;
+    /// @brief Every process that this one could ask.
+    [[nodiscard]] std::vector<Endpoint> peers() const;
     [[nodiscard]] const DisseminationSettings &settings() const noexcept { return m_settings; }
 
     /// @}
 
 private:
-    void sendNotice(const Endpoint &peer, bool wantsReply, std::uint64_t echo, Instant now);
+    void sendNotice(const Endpoint &peer, bool wantsReply, std::uint64_t echo, Instant now,
+                    bool introduces = false);
     void onOwnNotice(const Notice &notice);
     void tellSome(std::size_t count, bool wantsReply, Instant now);
     void fetch(const Endpoint &peer, Instant now);
@@ -133,7 +136,7 @@
     void findAgents();
     void askReaders(Instant now);
     [[nodiscard]] bool shouldRead(Instant now) const;
-    [[nodiscard]] std::vector<Endpoint> peers() const;
+    void introduce(const Endpoint &peer);
     void remember(const Endpoint &peer);
 
     DisseminationSettings m_settings;
@@ -147,6 +150,7 @@
     std::vector<Vm> m_vms;
     std::vector<Endpoint> m_readers; ///< of the own failure domain, by rank
     std::deque<Endpoint> m_recent; ///< peers heard lately, newest last
+    std::deque<Endpoint> m_introduced; ///< peers that others named when this process started
     std::vector<Endpoint> m_agents; ///< agents of the document
     std::size_t m_rank = 0;
     bool m_isReader = false;
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -40,6 +40,8 @@
     Endpoint sender;
     Incarnation incarnation;
     ServiceName service;
+    FailureDomainId domain;
+    Endpoint upstream; ///< where the upstream takes packets; zero for message agents
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     double limit = 0; ///< requests that the upstream bears at once
@@ -78,6 +80,8 @@
     std::uint64_t probe = 0;
     std::uint64_t echo = 0;
     std::vector<Rumor> rumors;
+    /// Processes that the sender heard lately, for a receiver that has just started.
+    std::vector<Endpoint> introductions;
 };
 
 } // namespace bergamotglade
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -42,6 +42,10 @@
     Millis reportMemory {2000}; ///< processes that sent a new flow within this get reports
     std::size_t reportTargetsMax = 24;
     std::size_t flowsMax = 50'000;
+    /// Slots of an upstream whose entry is not known yet.
+    std::uint32_t slotsUnknown = 4;
+    /// Ticks further apart mean that the process did not run: nothing is concluded from silence.
+    Millis pause {200};
 };
 
 struct AgentSteeringCounters
@@ -65,6 +69,8 @@
     std::function<void(const Endpoint &agent, const PacketBytes &)> toAgent;
     std::function<void(const Endpoint &caller, const PacketBytes &)> toCaller;
     std::function<void(const Endpoint &process, const LoadReport &)> report;
+    /// Every process that is known, for the announcements of the first seconds.
+    std::function<std::vector<Endpoint>()> peers;
     std::function<bool(Instant)> mayAct;
     SteeringLog log;
 };
@@ -117,9 +123,11 @@
                Instant now);
     void setBusy(OwnedFlow &flow, bool busy, Instant now);
     void onUpstreamHeard(Instant now);
+    void onPause(Instant now);
     void checkOffers(Instant now);
     void checkCrash(Instant now);
     void checkIncarnation(Instant now);
+    [[nodiscard]] std::vector<Endpoint> reportTargets(Instant now);
     void forgetOld(Instant now);
     void sendReports(Instant now, bool atOnce);
     void drop(const FlowKey &key);
@@ -151,6 +159,7 @@
     Instant m_probeAt;
     Instant m_startedAt;
     Instant m_nextReport;
+    Instant m_lastTick;
     std::optional<std::uint64_t> m_upstreamStart;
     AgentSteeringCounters m_counters;
 };
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -24,9 +24,14 @@
     std::size_t flowsMax = 100'000;
     /// A flow without packets is forgotten after this.
     Millis idle {15'000};
-    /// After a start the list of upstreams may still be short: flows that it cannot place are
-    /// left to the caller's copies for this long.
-    Millis settling {1500};
+    /// Opening packets kept while no routes or no upstreams are known, and for how long: callers
+    /// give up after 1.4 s.
+    std::size_t heldMax = 4096;
+    Millis heldMaxAge {1300};
+    /// Held flows are placed while the best agent's load is below this many times its slots.
+    double heldUse = 1.5;
+    /// Ticks further apart mean that the process did not run: nothing is concluded from silence.
+    Millis pause {200};
 };
 
 struct BalancerSteeringCounters
@@ -37,6 +42,7 @@
     std::uint64_t searched = 0;
     std::uint64_t resetNoRoute = 0;
     std::uint64_t resetNoUpstream = 0;
+    std::uint64_t held = 0; ///< opening packets kept until something is known
     std::uint64_t silent = 0; ///< dropped without an answer: nothing certain is known
 };
 
@@ -77,6 +83,8 @@
     };
 
     void open(const Segment &segment, PacketBytes bytes, Instant now);
+    void hold(const Segment &segment, PacketBytes bytes, Instant now);
+    void placeHeld(Instant now);
     void offer(const FlowKey &key, const RouteEntry &route, Placed &flow, std::string_view reason,
                Instant now);
     void search(const Segment &segment, const RouteEntry &route, PacketBytes bytes, Instant now);
@@ -88,6 +96,8 @@
     [[nodiscard]] bool isDoubted(const Endpoint &agent, Instant now) const;
     void note(std::string_view decision, std::string_view reason, const FlowKey &flow,
               const Endpoint &target, Instant now);
+    void checkOffers(Instant now);
+    void onPause(Instant now);
     void forgetIdle(Instant now);
 
     BalancerSteeringSettings m_settings;
@@ -97,9 +107,17 @@
     LoadBoard m_board;
     std::unordered_map<FlowKey, Placed> m_flows;
     std::deque<FlowKey> m_offered; ///< flows that wait for the caller's next packet, oldest first
+    struct Held
+    {
+        Segment segment;
+        PacketBytes bytes;
+        Instant since;
+    };
+    std::deque<Held> m_held; ///< oldest first
+    std::unordered_map<FlowKey, Instant> m_heldSince;
     std::deque<FlowKey> m_sweep; ///< order in which flows are looked at for expiry
     std::unordered_map<Endpoint, Instant> m_doubtedUntil;
-    Instant m_routesSince;
+    Instant m_lastTick;
     BalancerSteeringCounters m_counters;
 };
 
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -18,6 +18,8 @@
     Instant coldUntil;
     /// Its entry expired around an outage of the platform; gone unless it comes back by then.
     Instant goneAt;
+    /// Known from its agent only; its entry is missing.
+    bool announced = false;
 };
 
 /// Times of the directory.
@@ -28,6 +30,19 @@
     Millis lapseGrace {2200};
     /// Services that a route had within this time may still hold flows of it.
     Millis formerServices {60'000};
+    /// After the first routes came, upstreams that agents announce count for this long: their
+    /// entries may have expired, and are back about two seconds after the platform is.
+    Millis settling {2500};
+};
+
+/// What an agent says of the upstream beside it.
+struct Announcement
+{
+    ServiceName service;
+    FailureDomainId domain;
+    Endpoint agent;
+    Endpoint address;
+    std::uint32_t slots = 1;
 };
 
 /// Applies sections and answers look-ups; no I/O. View and ServiceTable are shared with the
@@ -40,6 +55,12 @@
     /// @brief Applies one section.
     /// @return findings; an error means that the section names nothing usable
     Findings take(const SectionChange &change, Instant now);
+    /// @brief Takes an agent's word for an upstream that is not registered, while the directory
+    /// of a process that has just started may lack entries.
+    /// @return whether anything changed
+    bool announce(const Announcement &announcement, Instant now);
+    /// @brief Whether missing entries are to be taken as gone.
+    [[nodiscard]] bool isSettled(Instant now) const;
     /// @brief Removes entries whose grace has passed.
     /// @return whether anything changed
     bool expire(Instant now);
@@ -89,6 +110,7 @@
 
     DirectorySettings m_settings;
     std::optional<std::uint64_t> m_version;
+    Instant m_routesSince;
     std::unordered_map<Endpoint, RouteEntry> m_routes;
     std::unordered_map<Endpoint, std::vector<Former>> m_former;
     std::unordered_map<ServiceName, double> m_coldPerSecond;
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -117,6 +117,9 @@
         out.report = [this](const Endpoint &process, const LoadReport &report) {
             m_runtime->sendReport(process, report);
         };
+        out.peers = [this] {
+            return m_runtime->plane().dissemination().peers();
+        };
         out.mayAct = [this](Instant now) {
             return m_runtime->mayAct(now);
         };
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -116,6 +116,7 @@
         metrics.count("reset_no_route", "Flows reset: no route", c.resetNoRoute);
         metrics.count("reset_no_upstream", "Flows reset: no upstream takes them",
                       c.resetNoUpstream);
+        metrics.count("held", "Opening packets kept until routes and upstreams are known", c.held);
         metrics.count("silent", "Packets dropped without an answer", c.silent);
         metrics.gauge("flows", "Flows remembered",
                       [this] { return static_cast<double>(m_steering->flowCount()); });
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -117,7 +117,7 @@
     };
     hooks.onDatagram = [this](const Endpoint & /*from*/, Datagram &&datagram) {
         if (const auto *report = std::get_if<LoadReport>(&datagram)) {
-            m_hooks.onLoadReport(*report);
+            onLoadReport(*report);
         }
     };
     hooks.onChange = [this] {
@@ -130,6 +130,22 @@
     return hooks;
 }
 
+void SteeringRuntime::onLoadReport(const LoadReport &report)
+{
+    const bool serves = !report.draining && !report.silentUpstream;
+    if (serves && report.upstream != Endpoint()) {
+        const Announcement announcement {report.service, report.domain, report.sender,
+                                         report.upstream,
+                                         static_cast<std::uint32_t>(report.limit)};
+        if (m_directory.announce(announcement, Clock::now())) {
+            logEvent("upstream announced", {{"agent", report.sender.str()},
+                                            {"upstream", report.upstream.str()},
+                                            {"service", report.service.str()}});
+        }
+    }
+    m_hooks.onLoadReport(report);
+}
+
 void SteeringRuntime::onDirectoryChange()
 {
     std::vector<Vm> vms;
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -46,6 +46,7 @@
                     SteeringRuntimeHooks hooks);
     Result<void> start(boost::asio::io_context &io, const PlatformAdapter &adapter);
     ControlPlaneHooks controlHooks();
+    void onLoadReport(const LoadReport &report);
     void onDirectoryChange();
     [[nodiscard]] Endpoint controlOf(const Endpoint &agent) const;
     void serveReady(const HttpResponder &respond);
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -9,6 +9,9 @@
 constexpr std::size_t RecentMax = 64;
 constexpr std::size_t RumorsPerNotice = 6;
 constexpr std::size_t PeersAskedAtStart = 3;
+/// Peers named to a process that has just started; a datagram of some 300 bytes.
+constexpr std::size_t IntroductionsMax = 32;
+constexpr std::size_t IntroducedMax = 128;
 constexpr Millis FetchTimeout {2000};
 constexpr Millis ListRetryMin {2000};
 constexpr Millis RumorTtl {60'000};
@@ -50,6 +53,11 @@
     m_probeAt = now;
     m_pause.observe(now);
     m_nextGossip = now;
+    for (const Endpoint &seed : m_settings.seeds) {
+        if (seed != m_settings.self) {
+            sendNotice(seed, true, 0, now);
+        }
+    }
     readVmList(now);
     readPlatform(now);
 }
@@ -258,6 +266,9 @@
     if (notice.serving) {
         m_rumors.alive(notice.sender, now);
     }
+    for (const Endpoint &peer : notice.introductions) {
+        introduce(peer);
+    }
     for (const Rumor &rumor : notice.rumors) {
         m_rumors.onRumor(rumor, now);
     }
@@ -276,7 +287,7 @@
         }
     }
     if (notice.wantsReply || notice.revision < m_store.revision()) {
-        sendNotice(notice.sender, false, notice.probe, now);
+        sendNotice(notice.sender, false, notice.probe, now, !notice.confirmed);
     }
 }
 
@@ -362,6 +373,7 @@
 {
     std::vector<Endpoint> all = m_agents;
     all.insert(all.end(), m_recent.begin(), m_recent.end());
+    all.insert(all.end(), m_introduced.begin(), m_introduced.end());
     all.insert(all.end(), m_settings.seeds.begin(), m_settings.seeds.end());
     for (const Vm &vm : m_vms) {
         const bool reachable = !view().isOut(vm.domain) || vm.domain == m_settings.domain;
@@ -384,6 +396,19 @@
     }
 }
 
+void Dissemination::introduce(const Endpoint &peer)
+{
+    const bool known = std::find(m_introduced.begin(), m_introduced.end(), peer)
+        != m_introduced.end();
+    if (known || peer == m_settings.self) {
+        return;
+    }
+    m_introduced.push_back(peer);
+    if (m_introduced.size() > IntroducedMax) {
+        m_introduced.pop_front();
+    }
+}
+
 void Dissemination::tellSome(std::size_t count, bool wantsReply, Instant now)
 {
     std::vector<Endpoint> some = peers();
@@ -395,7 +420,7 @@
 }
 
 void Dissemination::sendNotice(const Endpoint &peer, bool wantsReply, std::uint64_t echo,
-                               Instant now)
+                               Instant now, bool introduces)
 {
     if (!m_settings.mechanisms.gossip) {
         return;
@@ -412,6 +437,11 @@
     notice.probe = m_probe;
     notice.echo = echo;
     notice.rumors = m_rumors.take(RumorsPerNotice);
+    if (introduces) {
+        const std::size_t count = std::min(IntroductionsMax, m_recent.size());
+        notice.introductions.assign(m_recent.end() - static_cast<std::ptrdiff_t>(count),
+                                    m_recent.end());
+    }
     m_hooks.sendNotice(peer, notice);
 }
 
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -196,6 +196,8 @@
     report.sender = in.endpoint();
     report.incarnation = Incarnation(in.number());
     report.service = ServiceName(in.bytes());
+    report.domain = FailureDomainId(in.bytes());
+    report.upstream = in.endpoint();
     report.running = static_cast<std::uint32_t>(in.number());
     report.queued = static_cast<std::uint32_t>(in.number());
     report.limit = in.real();
@@ -227,6 +229,7 @@
             notice.rumors.push_back(rumor);
         });
     });
+    in.list([&](FieldReader &items) { notice.introductions.push_back(items.endpoint()); });
     return notice;
 }
 
@@ -336,9 +339,10 @@
 
 std::string encode(const LoadReport &report)
 {
-    constexpr std::uint32_t Fields = 9;
+    constexpr std::uint32_t Fields = 11;
     FieldWriter out(Kind::LoadReport, Fields);
     out.endpoint(report.sender).number(report.incarnation.value()).bytes(report.service.str());
+    out.bytes(report.domain.str()).endpoint(report.upstream);
     out.number(report.running).number(report.queued).real(report.limit);
     out.number(report.serviceTimeMs).flag(report.draining).flag(report.silentUpstream);
     return out.take();
@@ -346,7 +350,7 @@
 
 std::string encode(const Notice &notice)
 {
-    constexpr std::uint32_t Fields = 10;
+    constexpr std::uint32_t Fields = 11;
     constexpr std::size_t RumorFields = 4;
     FieldWriter out(Kind::Notice, Fields);
     out.endpoint(notice.sender).number(notice.incarnation.value());
@@ -358,6 +362,10 @@
         out.list(RumorFields).endpoint(rumor.subject).number(rumor.counter).flag(rumor.suspect);
         out.flag(rumor.leaving);
     }
+    out.list(notice.introductions.size());
+    for (const Endpoint &peer : notice.introductions) {
+        out.endpoint(peer);
+    }
     return out.take();
 }
 
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -92,6 +92,9 @@
     if (self != nullptr && self->entry.leaving) {
         return "upstream is leaving";
     }
+    if (self == nullptr && m_directory.isSettled(now)) {
+        return "upstream is not registered";
+    }
     if (m_flows.size() >= m_settings.flowsMax) {
         return "too many flows";
     }
@@ -391,6 +394,10 @@
 
 void AgentSteering::onTick(Instant now)
 {
+    if (now - m_lastTick > m_settings.pause) {
+        onPause(now);
+    }
+    m_lastTick = now;
     checkIncarnation(now);
     checkOffers(now);
     checkCrash(now);
@@ -398,6 +405,18 @@
     sendReports(now, false);
 }
 
+void AgentSteering::onPause(Instant now)
+{
+    // The upstream's answers wait in the socket.
+    m_unanswered = 0;
+    for (const FlowKey &key : m_offered) {
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end()) {
+            found->second.offeredAt = now;
+        }
+    }
+}
+
 void AgentSteering::checkOffers(Instant now)
 {
     while (!m_offered.empty()) {
@@ -492,16 +511,32 @@
     report.sender = m_settings.self;
     report.incarnation = m_settings.incarnation;
     report.service = m_settings.service;
+    report.domain = m_settings.domain;
+    report.upstream = m_settings.upstream;
     report.running = static_cast<std::uint32_t>(own.running);
     report.queued = static_cast<std::uint32_t>(own.queued);
     report.limit = own.limit;
     report.serviceTimeMs = static_cast<std::uint32_t>(own.serviceTimeMs);
-    report.draining = m_stopping;
+    // An upstream whose entry is missing for good has left.
+    const bool gone = m_directory.isSettled(now)
+        && m_directory.upstreamAt(m_settings.upstream) == nullptr;
+    report.draining = m_stopping || gone;
     report.silentUpstream = m_silent;
-    std::size_t sent = 0;
+    for (const Endpoint &process : reportTargets(now)) {
+        m_hooks.report(process, report);
+    }
+}
+
+std::vector<Endpoint> AgentSteering::reportTargets(Instant now)
+{
+    std::vector<Endpoint> targets;
     for (const auto &[process, seen] : m_senders) {
-        if (sent++ < m_settings.reportTargetsMax) {
-            m_hooks.report(process, report);
+        targets.push_back(process);
+    }
+    if (!m_directory.isSettled(now)) {
+        // Nobody may know this upstream yet.
+        for (const Endpoint &peer : m_hooks.peers()) {
+            targets.push_back(peer);
         }
     }
     std::vector<Endpoint> peers;
@@ -514,9 +549,11 @@
     }
     for (std::size_t i = 0; i < ReportedPeers && !peers.empty(); ++i) {
         const std::size_t at = below(m_random, peers.size());
-        m_hooks.report(peers[at], report);
+        targets.push_back(peers[at]);
         peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(at));
     }
+    targets.resize(std::min(targets.size(), m_settings.reportTargetsMax));
+    return targets;
 }
 
 void AgentSteering::stop(Instant now)
@@ -553,7 +590,7 @@
 std::uint32_t AgentSteering::slots() const
 {
     const KnownUpstream *self = m_directory.upstreamAt(m_settings.upstream);
-    return self == nullptr ? 1 : std::max(1U, self->entry.slots);
+    return self == nullptr ? m_settings.slotsUnknown : std::max(1U, self->entry.slots);
 }
 
 void AgentSteering::note(std::string_view decision, std::string_view reason, const FlowKey &flow,
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -28,7 +28,11 @@
 void BalancerSteering::onPacket(const Segment &segment, PacketBytes bytes, Instant now)
 {
     if (!m_directory.hasRoutes()) {
-        ++m_counters.silent;
+        if (segment.opens) {
+            hold(segment, std::move(bytes), now);
+        } else {
+            ++m_counters.silent;
+        }
         return;
     }
     const RouteEntry *route = m_directory.routeAt(segment.flow.service);
@@ -57,12 +61,9 @@
 {
     // A view that a pause has made old must not place anything.
     if (!m_hooks.mayAct(now)) {
-        ++m_counters.silent;
+        hold(segment, std::move(bytes), now);
         return;
     }
-    if (m_routesSince == Instant()) {
-        m_routesSince = now;
-    }
     const RouteEntry &route = *m_directory.routeAt(segment.flow.service);
     const auto [at, isNew] = m_flows.try_emplace(segment.flow);
     Placed &flow = at->second;
@@ -77,18 +78,59 @@
     } else if (flow.tried.size() >= m_settings.offersMax) {
         flow.tried.clear();
     }
-    flow.opening = std::move(bytes);
+    flow.opening = bytes;
     offer(segment.flow, route, flow, isNew ? "new flow" : "copy of the opening packet", now);
     if (flow.tried.empty()) {
         m_flows.erase(segment.flow);
-        if (now - m_routesSince < m_settings.settling) {
-            ++m_counters.silent;
+        if (!m_directory.isSettled(now)) {
+            hold(segment, std::move(bytes), now);
             return;
         }
         refuse(segment, "no upstream takes flows", now);
     }
 }
 
+void BalancerSteering::hold(const Segment &segment, PacketBytes bytes, Instant now)
+{
+    const bool isNew = m_heldSince.try_emplace(segment.flow, now).second;
+    if (!isNew || m_held.size() >= m_settings.heldMax) {
+        // A copy adds nothing, and what does not fit is left to the caller's copies.
+        ++m_counters.silent;
+        return;
+    }
+    ++m_counters.held;
+    m_held.push_back({segment, std::move(bytes), now});
+}
+
+void BalancerSteering::placeHeld(Instant now)
+{
+    if (m_held.empty() || !m_directory.hasRoutes() || !m_hooks.mayAct(now)) {
+        return;
+    }
+    std::deque<Held> waiting;
+    waiting.swap(m_held);
+    m_heldSince.clear();
+    for (Held &held : waiting) {
+        if (now - held.since > m_settings.heldMaxAge) {
+            continue;
+        }
+        const RouteEntry *route = m_directory.routeAt(held.segment.flow.service);
+        if (route == nullptr) {
+            refuse(held.segment, "no route", now);
+            continue;
+        }
+        const auto best = choose(held.segment.flow, *route, {}, now);
+        if (best && m_board.estimate(*best, now).use() <= m_settings.heldUse) {
+            open(held.segment, std::move(held.bytes), now);
+        } else if (best || !m_directory.isSettled(now)) {
+            m_heldSince.emplace(held.segment.flow, held.since);
+            m_held.push_back(std::move(held));
+        } else {
+            refuse(held.segment, "no upstream takes flows", now);
+        }
+    }
+}
+
 void BalancerSteering::offer(const FlowKey &key, const RouteEntry &route, Placed &flow,
                              std::string_view reason, Instant now)
 {
@@ -205,6 +247,28 @@
 }
 
 void BalancerSteering::onTick(Instant now)
+{
+    if (now - m_lastTick > m_settings.pause) {
+        onPause(now);
+    }
+    m_lastTick = now;
+    checkOffers(now);
+    placeHeld(now);
+    forgetIdle(now);
+}
+
+void BalancerSteering::onPause(Instant now)
+{
+    // Callers' next packets wait in the socket.
+    for (const FlowKey &key : m_offered) {
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end()) {
+            found->second.offeredAt = now;
+        }
+    }
+}
+
+void BalancerSteering::checkOffers(Instant now)
 {
     while (!m_offered.empty()) {
         const FlowKey key = m_offered.front();
@@ -225,7 +289,6 @@
             offer(key, *route, flow, "no answer to the offer", now);
         }
     }
-    forgetIdle(now);
 }
 
 void BalancerSteering::forgetIdle(Instant now)
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -8,6 +8,8 @@
 
 /// Seed of the hash that picks a service, apart from the one that picks upstreams.
 constexpr std::uint64_t SplitSeed = 0x5e41ce;
+/// Ids of announced upstreams; registered ones hold no slash.
+constexpr std::string_view AnnouncedPrefix = "announced/";
 /// Services of a view are sections of their own; one order serves all, as no two share a name.
 constexpr std::size_t ServiceOrder = 1;
 
@@ -70,6 +72,9 @@
     for (const ServicePolicy &service : document.value().services) {
         m_coldPerSecond[service.name] = service.coldPerSecond;
     }
+    if (!m_version) {
+        m_routesSince = now;
+    }
     m_version = document.value().version;
     return {};
 }
@@ -149,10 +154,39 @@
     rebuild(service);
 }
 
+bool Directory::isSettled(Instant now) const
+{
+    return hasRoutes() && now - m_routesSince >= m_settings.settling;
+}
+
+bool Directory::announce(const Announcement &announcement, Instant now)
+{
+    if (isSettled(now) || m_byAddress.contains(announcement.address)) {
+        return false;
+    }
+    const UpstreamId id(std::string(AnnouncedPrefix) + announcement.address.str());
+    KnownUpstream &upstream = m_upstreams[id];
+    upstream.entry.id = id;
+    upstream.entry.service = announcement.service;
+    upstream.entry.domain = announcement.domain;
+    upstream.entry.agent = announcement.agent;
+    upstream.entry.address = announcement.address;
+    upstream.entry.slots = announcement.slots;
+    upstream.announced = true;
+    m_byAddress[announcement.address] = id;
+    m_byAgent[announcement.agent] = id;
+    rebuild(announcement.service);
+    return true;
+}
+
 bool Directory::expire(Instant now)
 {
     std::vector<UpstreamId> gone;
+    const bool settled = isSettled(now);
     for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.announced && settled) {
+            gone.push_back(id);
+        }
         if (upstream.goneAt != Instant() && now >= upstream.goneAt) {
             gone.push_back(id);
         }
--- /dev/null
+++ b/tests/steering_fixture.cpp
@@ -0,0 +1,441 @@
+#include "steering_fixture.hpp"
+
+#include <packet_codec.hpp>
+
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>
+
+namespace bergamotglade::tests {
+
+namespace {
+
+constexpr Millis NetworkDelay {1};
+constexpr Millis Tick {20};
+constexpr std::uint16_t PacketPort = 8172;
+constexpr std::uint32_t CallerNet = 0x64400000; // 100.64.0.0
+constexpr std::uint32_t AgentNet = 0x0a010000; // 10.1.0.0
+constexpr std::uint32_t BalancerNet = 0x0a020000; // 10.2.0.0
+constexpr std::uint32_t AnswerBytes = 400;
+
+Endpoint balancerAddress(std::size_t index)
+{
+    return {BalancerNet + static_cast<std::uint32_t>(index) + 1, PacketPort};
+}
+
+} // namespace
+
+const Endpoint SteeringFleet::RouteAddress {0xc6120001, 443};
+
+PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
+                       std::uint32_t sequence, std::uint32_t acknowledgement,
+                       std::size_t dataBytes)
+{
+    PacketBytes bytes(32 + dataBytes, 'd');
+    std::fill(bytes.begin(), bytes.begin() + 32, '\0');
+    auto *head = reinterpret_cast<unsigned char *>(bytes.data());
+    const Endpoint &source = fromCaller ? flow.caller : flow.service;
+    const Endpoint &target = fromCaller ? flow.service : flow.caller;
+    using namespace boost::endian;
+    store_big_u32(head, 0xa1b2c3d5);
+    store_big_u16(head + 4, static_cast<std::uint16_t>(dataBytes));
+    head[10] = flags;
+    store_big_u16(head + 12, target.port);
+    store_big_u16(head + 14, source.port);
+    store_big_u32(head + 16, source.address);
+    store_big_u32(head + 20, target.address);
+    store_big_u32(head + 24, sequence);
+    store_big_u32(head + 28, acknowledgement);
+    return bytes;
+}
+
+SteeringFleet::SteeringFleet(std::uint64_t seed)
+    : m_seed(seed)
+    , m_codec(platform::packetCodec())
+{ }
+
+void SteeringFleet::after(Millis delay, std::function<void()> run)
+{
+    m_events.push({m_now + delay, m_order++, std::move(run)});
+}
+
+void SteeringFleet::runFor(Millis time)
+{
+    if (!m_ticking) {
+        m_ticking = true;
+        tick();
+    }
+    const Instant end = m_now + time;
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+    m_now = end;
+}
+
+void SteeringFleet::tick()
+{
+    for (BalancerProcess &balancer : m_balancers) {
+        balancer.directory->expire(m_now);
+        balancer.steering->onTick(m_now);
+    }
+    for (std::size_t i = 0; i < m_agents.size(); ++i) {
+        if (!deadAgents.contains(i)) {
+            m_agents[i].directory->expire(m_now);
+            m_agents[i].steering->onTick(m_now);
+        }
+    }
+    after(Tick, [this] { tick(); });
+}
+
+SectionChange SteeringFleet::routesTo(
+    const std::vector<std::pair<std::string, std::uint32_t>> &services, double coldPerSecond)
+{
+    RouteDocument document;
+    document.version = 1;
+    RouteEntry route;
+    route.address = RouteAddress;
+    for (const auto &[name, weight] : services) {
+        route.services.push_back({ServiceName(name), Weight(weight)});
+        document.services.push_back({ServiceName(name), coldPerSecond});
+    }
+    document.routes.push_back(std::move(route));
+    return {RootName, Revision(1), encode(document)};
+}
+
+SectionChange SteeringFleet::domainOut(const std::string &domain, bool out)
+{
+    return {SectionName(std::string(DomainPrefix) + domain), Revision(1), "{}", !out};
+}
+
+SectionChange SteeringFleet::entryOf(std::size_t index, bool leaving, Millis coldFor) const
+{
+    const FakeUpstream &upstream = m_upstreams[index];
+    UpstreamEntry entry;
+    entry.id = UpstreamId("u" + std::to_string(index));
+    entry.service = upstream.service;
+    entry.domain = upstream.domain;
+    entry.agent = upstream.agent;
+    entry.address = upstream.address;
+    entry.slots = upstream.slots;
+    entry.leaving = leaving;
+    entry.coldFor = coldFor;
+    return {SectionName(std::string(UpstreamPrefix) + entry.id.str()), Revision(1), encode(entry)};
+}
+
+void SteeringFleet::publish(const SectionChange &change)
+{
+    m_published.push_back(change);
+    for (BalancerProcess &balancer : m_balancers) {
+        balancer.directory->take(change, m_now);
+    }
+    for (AgentProcess &agent : m_agents) {
+        agent.directory->take(change, m_now);
+    }
+}
+
+void SteeringFleet::publishAtBalancer(std::size_t balancer, const SectionChange &change)
+{
+    m_balancers[balancer].directory->take(change, m_now);
+}
+
+std::size_t SteeringFleet::addUpstream(const std::string &service, const std::string &domain,
+                                       bool registered, bool knowsRoutes)
+{
+    const std::size_t index = m_upstreams.size();
+    FakeUpstream upstream;
+    upstream.agent = {AgentNet + static_cast<std::uint32_t>(index) + 1, PacketPort};
+    upstream.address = {upstream.agent.address, 8165};
+    upstream.service = ServiceName(service);
+    upstream.domain = FailureDomainId(domain);
+    upstream.startSequence = 1000 * static_cast<std::uint32_t>(index + 1);
+    m_upstreams.push_back(std::move(upstream));
+    m_agents.emplace_back();
+    auto directory = std::make_unique<Directory>();
+    if (knowsRoutes) {
+        for (const SectionChange &change : m_published) {
+            directory->take(change, m_now);
+        }
+    }
+    startAgent(index, std::move(directory));
+    if (registered) {
+        publish(entryOf(index));
+    }
+    return index;
+}
+
+std::size_t SteeringFleet::addBalancer(bool knowsRoutes)
+{
+    const std::size_t index = m_balancers.size();
+    m_balancers.emplace_back();
+    restartBalancer(index, knowsRoutes);
+    return index;
+}
+
+void SteeringFleet::restartBalancer(std::size_t index, bool knowsRoutes)
+{
+    auto directory = std::make_unique<Directory>();
+    if (knowsRoutes) {
+        for (const SectionChange &change : m_published) {
+            directory->take(change, m_now);
+        }
+    }
+    startBalancer(index, std::move(directory));
+}
+
+void SteeringFleet::startBalancer(std::size_t index, std::unique_ptr<Directory> directory)
+{
+    BalancerProcess &process = m_balancers[index];
+    process.steering.reset();
+    process.directory = std::move(directory);
+    BalancerSteeringHooks hooks;
+    hooks.forward = [this, index](const Endpoint &agent, const PacketBytes &bytes) {
+        toAgent(agent, bytes, balancerAddress(index));
+    };
+    hooks.reset = [this](const Endpoint &caller, const PacketBytes &bytes) {
+        toCaller(caller, bytes);
+    };
+    hooks.mayAct = [this](Instant) {
+        return mayAct;
+    };
+    process.steering = std::make_unique<BalancerSteering>(
+        balancerSettings, *process.directory, m_codec, std::move(hooks),
+        seededRandom(m_seed + index));
+}
+
+void SteeringFleet::restartAgent(std::size_t index)
+{
+    startAgent(index, std::move(m_agents[index].directory));
+}
+
+void SteeringFleet::startAgent(std::size_t index, std::unique_ptr<Directory> directory)
+{
+    constexpr std::uint64_t AgentSeeds = 1000;
+    AgentProcess &process = m_agents[index];
+    process.steering.reset();
+    process.directory = std::move(directory);
+    const FakeUpstream &upstream = m_upstreams[index];
+    AgentSteeringSettings settings = agentSettings;
+    settings.self = upstream.agent;
+    settings.upstream = upstream.address;
+    settings.service = upstream.service;
+    settings.domain = upstream.domain;
+    AgentSteeringHooks hooks;
+    hooks.toUpstream = [this, index](const PacketBytes &bytes) {
+        after(Millis(0), [this, index, bytes] { toUpstream(index, bytes); });
+    };
+    hooks.toAgent = [this, from = upstream.agent](const Endpoint &agent, const PacketBytes &bytes) {
+        toAgent(agent, bytes, from);
+    };
+    hooks.toCaller = [this](const Endpoint &caller, const PacketBytes &bytes) {
+        toCaller(caller, bytes);
+    };
+    hooks.report = [this](const Endpoint &to, const LoadReport &report) {
+        after(NetworkDelay, [this, to, report] {
+            for (std::size_t i = 0; i < m_balancers.size(); ++i) {
+                if (to == balancerAddress(i)) {
+                    const Announcement announcement {report.service, report.domain, report.sender,
+                                                     report.upstream, 4};
+                    m_balancers[i].directory->announce(announcement, m_now);
+                    m_balancers[i].steering->onLoadReport(report, m_now);
+                }
+            }
+            const std::size_t peer = indexOf(to);
+            if (peer < m_agents.size()) {
+                m_agents[peer].steering->onLoadReport(report, m_now);
+            }
+        });
+    };
+    hooks.peers = [this] {
+        std::vector<Endpoint> peers;
+        for (std::size_t i = 0; i < m_balancers.size(); ++i) {
+            peers.push_back(balancerAddress(i));
+        }
+        return peers;
+    };
+    hooks.mayAct = [this](Instant) {
+        return mayAct;
+    };
+    process.steering =
+        std::make_unique<AgentSteering>(std::move(settings), *process.directory, m_codec,
+                                        std::move(hooks), seededRandom(m_seed + AgentSeeds + index),
+                                        m_now);
+}
+
+std::size_t SteeringFleet::indexOf(const Endpoint &agent) const
+{
+    std::size_t index = 0;
+    while (index < m_upstreams.size() && m_upstreams[index].agent != agent) {
+        ++index;
+    }
+    return index;
+}
+
+void SteeringFleet::toAgent(const Endpoint &agent, const PacketBytes &bytes, const Endpoint &from)
+{
+    after(NetworkDelay, [this, agent, bytes, from] {
+        const std::size_t index = indexOf(agent);
+        if (index == m_agents.size() || deadAgents.contains(index)) {
+            return;
+        }
+        const auto segment = m_codec.fromCaller(bytes);
+        m_agents[index].steering->onCallerPacket(segment.value(), bytes, from, m_now);
+    });
+}
+
+void SteeringFleet::toUpstream(std::size_t index, const PacketBytes &bytes)
+{
+    FakeUpstream &upstream = m_upstreams[index];
+    if (upstream.dead) {
+        return;
+    }
+    const Segment segment = m_codec.fromCaller(bytes).value();
+    const FlowKey &key = segment.flow;
+    const bool holds = upstream.flows.contains(key);
+    if ((segment.opens && upstream.full && !holds) || (!segment.opens && !holds)) {
+        PacketBytes returned = bytes;
+        returned[10] = static_cast<char>(returned[10] | Bounced);
+        returned[11] = '\0';
+        fromUpstream(index, std::move(returned));
+        return;
+    }
+    if (segment.opens) {
+        upstream.openings.push_back(m_now);
+        upstream.opened.push_back(key);
+        upstream.flows.insert(key);
+        fromUpstream(index, makePacket(key, false, Syn | Ack, upstream.startSequence,
+                                       segment.sequence + 1));
+        return;
+    }
+    if (segment.acknowledgement - upstream.startSequence > OwnedFlow::FirstWindow) {
+        // Acknowledges another upstream.
+        return;
+    }
+    if (segment.dataBytes > 0) {
+        upstream.queue.push_back(key);
+        startNext(index);
+    }
+}
+
+void SteeringFleet::startNext(std::size_t index)
+{
+    FakeUpstream &upstream = m_upstreams[index];
+    while (upstream.running < upstream.slots && !upstream.queue.empty()) {
+        const FlowKey key = upstream.queue.front();
+        upstream.queue.pop_front();
+        ++upstream.running;
+        after(upstream.work, [this, index, key] { serve(index, key); });
+    }
+}
+
+void SteeringFleet::serve(std::size_t index, const FlowKey &key)
+{
+    FakeUpstream &upstream = m_upstreams[index];
+    --upstream.running;
+    if (!upstream.dead) {
+        fromUpstream(index, makePacket(key, false, Ack, upstream.startSequence + 1, 0, AnswerBytes));
+    }
+    startNext(index);
+}
+
+void SteeringFleet::fromUpstream(std::size_t index, PacketBytes bytes)
+{
+    after(Millis(0), [this, index, bytes = std::move(bytes)] {
+        if (!deadAgents.contains(index)) {
+            const Segment segment = m_codec.fromUpstream(bytes).value();
+            m_agents[index].steering->onUpstreamPacket(segment, bytes, m_now);
+        }
+    });
+}
+
+void SteeringFleet::toCaller(const Endpoint &caller, const PacketBytes &bytes)
+{
+    after(NetworkDelay, [this, caller, bytes] {
+        const Segment segment = m_codec.fromUpstream(bytes).value();
+        for (std::size_t i = 0; i < m_callers.size(); ++i) {
+            CallerFlow &flow = m_callers[i];
+            if (flow.key != segment.flow) {
+                continue;
+            }
+            if (segment.resets) {
+                flow.wasReset = true;
+            } else if (segment.opens && !flow.open) {
+                flow.open = true;
+                flow.upstreamSequence = segment.sequence;
+                fromCaller(i, makePacket(flow.key, true, Ack, 2, segment.sequence + 1));
+                if (!flow.keepOpen) {
+                    request(i);
+                }
+            } else if (segment.dataBytes > 0) {
+                flow.answered = true;
+                flow.answeredAt = m_now;
+            }
+        }
+    });
+}
+
+void SteeringFleet::fromCaller(std::size_t index, PacketBytes bytes)
+{
+    after(NetworkDelay, [this, index, bytes = std::move(bytes)] {
+        const auto segment = m_codec.fromCaller(bytes);
+        m_balancers[m_callers[index].balancer].steering->onPacket(segment.value(), bytes, m_now);
+    });
+}
+
+void SteeringFleet::sendOpening(std::size_t index, std::uint32_t copy)
+{
+    const CallerFlow &flow = m_callers[index];
+    if (!flow.open && !flow.wasReset) {
+        fromCaller(index, makePacket(flow.key, true, Syn, 1, copy));
+    }
+}
+
+std::size_t SteeringFleet::openFlow(std::size_t balancer, bool keepOpen)
+{
+    constexpr Millis FirstCopy {200};
+    constexpr Millis SecondCopy {600};
+    constexpr std::uint16_t FirstPort = 1024;
+    const std::size_t index = m_callers.size();
+    CallerFlow flow;
+    flow.key = {{CallerNet + static_cast<std::uint32_t>(index / 50'000) + 1,
+                 static_cast<std::uint16_t>(FirstPort + index % 50'000)},
+                RouteAddress};
+    flow.openedAt = m_now;
+    flow.balancer = balancer;
+    flow.keepOpen = keepOpen;
+    m_callers.push_back(flow);
+    sendOpening(index, 0);
+    after(FirstCopy, [this, index] { sendOpening(index, 1); });
+    after(SecondCopy, [this, index] { sendOpening(index, 2); });
+    return index;
+}
+
+void SteeringFleet::request(std::size_t index)
+{
+    constexpr std::size_t RequestBytes = 100;
+    CallerFlow &flow = m_callers[index];
+    flow.answered = false;
+    fromCaller(index,
+               makePacket(flow.key, true, Ack, 2, flow.upstreamSequence + 1, RequestBytes));
+}
+
+std::size_t SteeringFleet::upstreamOf(std::size_t index) const
+{
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        if (m_upstreams[i].startSequence == m_callers[index].upstreamSequence
+            && m_callers[index].open) {
+            return i;
+        }
+    }
+    return m_upstreams.size();
+}
+
+std::size_t SteeringFleet::resets() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_callers.begin(), m_callers.end(), [](const auto &f) { return f.wasReset; }));
+}
+
+} // namespace bergamotglade::tests
--- /dev/null
+++ b/tests/steering_fixture.hpp
@@ -0,0 +1,152 @@
+/// @file
+/// Balancers, agents, upstreams and callers of steered connections on a virtual clock.
+#pragma once
+
+#include <bergamotglade/detail/steering/agent_steering.hpp>
+#include <bergamotglade/detail/steering/balancer_steering.hpp>
+
+#include <queue>
+#include <set>
+
+namespace bergamotglade::tests {
+
+/// A caller's packet in the fixture's own hands; written through the platform's layout.
+PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
+                       std::uint32_t sequence, std::uint32_t acknowledgement,
+                       std::size_t dataBytes = 0);
+
+inline constexpr std::uint8_t Syn = 128;
+inline constexpr std::uint8_t Ack = 1;
+inline constexpr std::uint8_t Fin = 4;
+inline constexpr std::uint8_t Rst = 64;
+inline constexpr std::uint8_t Bounced = 32;
+
+/// What became of one caller's flow.
+struct CallerFlow
+{
+    FlowKey key;
+    Instant openedAt;
+    std::size_t balancer = 0; ///< takes the caller's packets
+    bool open = false;
+    bool answered = false;
+    bool wasReset = false;
+    Instant answeredAt;
+    std::uint32_t upstreamSequence = 0;
+    bool keepOpen = false; ///< sends no request by itself
+};
+
+/// One upstream: answers a request after its work, returns what it does not hold.
+struct FakeUpstream
+{
+    Endpoint agent;
+    Endpoint address;
+    ServiceName service;
+    FailureDomainId domain;
+    std::uint32_t slots = 4;
+    Millis work {20};
+    bool dead = false; ///< answers nothing
+    bool full = false; ///< takes no new flows
+    std::uint32_t startSequence = 0;
+    std::set<FlowKey> flows;
+    std::uint32_t running = 0;
+    std::deque<FlowKey> queue;
+    std::vector<Instant> openings; ///< opening packets that it took, with their times
+    std::vector<FlowKey> opened;
+};
+
+/// A small fleet. Every process has a directory of its own.
+class SteeringFleet
+{
+public:
+    explicit SteeringFleet(std::uint64_t seed = 1);
+
+    /// @name Set-up
+    /// @{
+    std::size_t addBalancer(bool knowsRoutes = true);
+    std::size_t addUpstream(const std::string &service, const std::string &domain,
+                            bool registered = true, bool knowsRoutes = true);
+    /// @brief Applies a section at every process, or at one balancer only.
+    void publish(const SectionChange &change);
+    void publishAtBalancer(std::size_t balancer, const SectionChange &change);
+    [[nodiscard]] SectionChange entryOf(std::size_t upstream, bool leaving = false,
+                                        Millis coldFor = {}) const;
+    [[nodiscard]] static SectionChange
+    routesTo(const std::vector<std::pair<std::string, std::uint32_t>> &services,
+             double coldPerSecond = 0);
+    [[nodiscard]] static SectionChange domainOut(const std::string &domain, bool out = true);
+    /// @}
+    /// @name Faults and work
+    /// @{
+    std::size_t openFlow(std::size_t balancer, bool keepOpen = false);
+    void request(std::size_t flow);
+    void restartAgent(std::size_t upstream);
+    void restartBalancer(std::size_t balancer, bool knowsRoutes = true);
+    void runFor(Millis time);
+    /// @}
+
+    CallerFlow &flow(std::size_t index) { return m_callers[index]; }
+    FakeUpstream &upstream(std::size_t index) { return m_upstreams[index]; }
+    AgentSteering &agent(std::size_t index) { return *m_agents[index].steering; }
+    BalancerSteering &balancer(std::size_t index) { return *m_balancers[index].steering; }
+    [[nodiscard]] Instant now() const { return m_now; }
+    [[nodiscard]] std::size_t upstreamOf(std::size_t flow) const;
+    [[nodiscard]] std::size_t resets() const;
+
+    std::set<std::size_t> deadAgents; ///< by upstream: packets to them are lost
+    bool mayAct = true;
+    AgentSteeringSettings agentSettings;
+    BalancerSteeringSettings balancerSettings;
+
+    static const Endpoint RouteAddress;
+
+private:
+    struct AgentProcess
+    {
+        std::unique_ptr<Directory> directory;
+        std::unique_ptr<AgentSteering> steering;
+    };
+    struct BalancerProcess
+    {
+        std::unique_ptr<Directory> directory;
+        std::unique_ptr<BalancerSteering> steering;
+    };
+    struct Event
+    {
+        Instant at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    void after(Millis delay, std::function<void()> run);
+    void tick();
+    void startAgent(std::size_t index, std::unique_ptr<Directory> directory);
+    void startBalancer(std::size_t index, std::unique_ptr<Directory> directory);
+    void toAgent(const Endpoint &agent, const PacketBytes &bytes, const Endpoint &from);
+    void toUpstream(std::size_t index, const PacketBytes &bytes);
+    void toCaller(const Endpoint &caller, const PacketBytes &bytes);
+    void fromUpstream(std::size_t index, PacketBytes bytes);
+    void fromCaller(std::size_t flow, PacketBytes bytes);
+    void sendOpening(std::size_t flow, std::uint32_t copy);
+    void serve(std::size_t upstream, const FlowKey &key);
+    void startNext(std::size_t upstream);
+    [[nodiscard]] std::size_t indexOf(const Endpoint &agent) const;
+
+    std::uint64_t m_seed;
+    Instant m_now {Millis(1'000'000)};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event> m_events;
+    PacketCodec m_codec;
+    std::deque<FakeUpstream> m_upstreams;
+    std::deque<AgentProcess> m_agents;
+    std::deque<BalancerProcess> m_balancers;
+    std::deque<CallerFlow> m_callers;
+    std::vector<SectionChange> m_published;
+    std::uint64_t m_revision = 0;
+    bool m_ticking = false;
+};
+
+} // namespace bergamotglade::tests
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,216 @@
+#include "steering_fixture.hpp"
+
+#include "property.hpp"
+
+#include <packet_codec.hpp>
+#include <store_items.hpp>
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace bergamotglade;
+using namespace bergamotglade::tests;
+
+namespace {
+
+constexpr std::uint16_t AgentPort = 8172;
+
+std::string base64(const std::string &text)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string out(codec::encoded_size(text.size()), '\0');
+    out.resize(codec::encode(out.data(), text.data(), text.size()));
+    return out;
+}
+
+std::string item(const std::string &key, const std::string &value, int revision)
+{
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":)"
+        + std::to_string(revision) + R"(,"created_at":1,"lease":0})";
+}
+
+std::string page(const std::string &items, const std::string &name = "items")
+{
+    return R"({")" + name + R"(":[)" + items + R"(],"has_more":false,"as_of":530})";
+}
+
+const std::string Server =
+    R"({"service":"s1","address":"10.128.0.9:8080","zone":"z1","version":"v1","slots":9,)"
+    R"("state":"ready","cold_remaining_ms":700,"sequence":4,"born":1769499681676})";
+
+const std::string Config =
+    R"({"version":7,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/8443/",)"
+    R"("kind":"idempotent","traffic_split":[{"service":"s1","weight":90},)"
+    R"({"service":"s2","weight":10}]},{"name":"q","hostname":"198.18.0.2","prefix":"/80/",)"
+    R"("service":"s2"}],"services":[{"name":"s1","cold_per_s":12.5},{"name":"s2"}],)"
+    R"("limits":{"idle_timeout_ms":15000}})";
+
+Result<Segment> fromHex(const std::string &hex)
+{
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
+        bytes += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+    }
+    return platform::packetCodec().fromCaller(bytes);
+}
+
+} // namespace
+
+// Packets
+
+TEST(PacketCodec, ReadsTheDocumentedExample)
+{
+    const auto segment =
+        fromHex("a1b2c3d500000000000080000" "1bb9c4164400007c6120001" "1122334400000000");
+    ASSERT_TRUE(segment);
+    EXPECT_EQ(segment.value().flow.caller.str(), "100.64.0.7:40001");
+    EXPECT_EQ(segment.value().flow.service.str(), "198.18.0.1:443");
+    EXPECT_TRUE(segment.value().opens);
+    EXPECT_FALSE(segment.value().acknowledges);
+    EXPECT_EQ(segment.value().sequence, 0x11223344U);
+}
+
+TEST(PacketCodec, WritesTheDocumentedReset)
+{
+    const FlowKey flow {Endpoint::parse("100.64.0.7:40001").value(),
+                        Endpoint::parse("198.18.0.1:443").value()};
+    const PacketBytes reset = platform::packetCodec().makeReset(flow, 0);
+    const std::string expected =
+        "0000000000000000000040009c4101bbc6120001644000070000000000000000";
+    std::string hex;
+    for (const char c : reset) {
+        constexpr std::string_view Digits = "0123456789abcdef";
+        hex += Digits[static_cast<unsigned char>(c) >> 4U];
+        hex += Digits[static_cast<unsigned char>(c) & 0xfU];
+    }
+    EXPECT_EQ(hex, expected);
+}
+
+TEST(PacketCodec, RefusesShortLongAndReturnedPacketsOfCallers)
+{
+    const PacketCodec codec = platform::packetCodec();
+    const FlowKey flow {{1, 2}, {3, 4}};
+    const PacketBytes good = makePacket(flow, true, Ack, 1, 2, 100);
+    EXPECT_TRUE(codec.fromCaller(good));
+    EXPECT_FALSE(codec.fromCaller(good.substr(0, 31)));
+    EXPECT_FALSE(codec.fromCaller(good.substr(0, 131)));
+    EXPECT_FALSE(codec.fromCaller(good + 'x'));
+    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack, 1, 2, 1201)));
+    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack | Bounced, 1, 2, 0)));
+    EXPECT_FALSE(codec.fromCaller(""));
+}
+
+TEST(PacketCodec, AReturnedPacketIsTheCallersAndAnyOtherTheUpstreams)
+{
+    const PacketCodec codec = platform::packetCodec();
+    const FlowKey flow {{1, 2}, {3, 4}};
+    EXPECT_EQ(codec.fromUpstream(makePacket(flow, true, Syn | Bounced, 1, 0)).value().flow, flow);
+    EXPECT_EQ(codec.fromUpstream(makePacket(flow, false, Syn | Ack, 1, 2)).value().flow, flow);
+}
+
+RC_GTEST_PROP(PacketCodecProperty, SurvivesAnyBytes, (const std::string &bytes))
+{
+    const PacketCodec codec = platform::packetCodec();
+    (void)codec.fromCaller(bytes);
+    (void)codec.fromUpstream(bytes);
+}
+
+RC_GTEST_PROP(PacketCodecProperty, ATrailChangesNothingElseAndComesBackThroughAnUpstream,
+              (std::uint8_t hops, std::uint8_t position, bool incomplete, std::uint8_t flags,
+               std::uint16_t port))
+{
+    const PacketCodec codec = platform::packetCodec();
+    const FlowKey flow {{7, port}, {3, 4}};
+    const Trail trail {static_cast<std::uint8_t>(hops & 0x7fU), position, incomplete};
+    const auto plain = static_cast<std::uint8_t>(flags & ~Bounced);
+    const PacketBytes before = makePacket(flow, true, plain, 9, 10, 50);
+    PacketBytes after = before;
+    codec.setTrail(after, flow, trail);
+    RC_ASSERT(codec.fromCaller(after).value().trail == trail);
+    PacketBytes returned = after;
+    returned[10] = static_cast<char>(returned[10] | Bounced);
+    RC_ASSERT(codec.fromUpstream(returned).value().trail == trail);
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        const bool ours = i >= 6 && i < 10;
+        RC_ASSERT(ours || before[i] == after[i]);
+    }
+    // A trail of another flow, or zeros of an end, count for nothing.
+    PacketBytes other = makePacket({{8, port}, {3, 4}}, true, plain, 9, 10, 50);
+    std::copy(after.begin() + 6, after.begin() + 10, other.begin() + 6);
+    RC_ASSERT(codec.fromCaller(before).value().trail == Trail {});
+}
+
+// Store
+
+TEST(StorePage, ReadsRoutesUpstreamsAndFailureDomains)
+{
+    const auto read = platform::readStorePage(
+        page(item("op/config", Config, 3) + ',' + item("op/evacuate/z1", "{}", 4) + ','
+             + item("servers/i-1", Server, 5) + ',' + item("my/other", "x", 6)),
+        AgentPort);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read.value().changes.size(), 3U);
+    EXPECT_EQ(read.value().revision, Revision(530));
+    const RouteDocument routes = decodeRoutes(read.value().changes[0].text).value();
+    EXPECT_EQ(routes.version, 7U);
+    EXPECT_EQ(routes.routes[0].address.str(), "198.18.0.1:8443");
+    EXPECT_EQ(routes.routes[0].services.size(), 2U);
+    EXPECT_EQ(routes.routes[1].services.size(), 1U);
+    EXPECT_EQ(routes.services[0].coldPerSecond, 12.5);
+    EXPECT_EQ(read.value().changes[1].name.str(), "domain/z1");
+    const UpstreamEntry entry = decodeUpstream(read.value().changes[2].text).value();
+    EXPECT_EQ(entry.id.str(), "i-1");
+    EXPECT_EQ(entry.agent.str(), "10.128.0.9:8172");
+    EXPECT_EQ(entry.coldFor, Millis(700));
+    EXPECT_EQ(entry.startedAt, 1769499681676U);
+}
+
+TEST(StorePage, ReadsRemovals)
+{
+    const auto read = platform::readStorePage(
+        page(R"({"key":"servers/i-1","revision":413,"deleted":true})", "events"), AgentPort);
+    ASSERT_TRUE(read);
+    EXPECT_TRUE(read.value().changes.at(0).removed);
+}
+
+TEST(StorePage, ADamagedItemNamesNothingAndTheOthersHold)
+{
+    const std::vector<std::string> damaged = {
+        "", "[]", "{", "\xff\xfe", R"({"service":"s1"})",
+        R"({"service":1,"address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":-1,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"odd","cold_remaining_ms":0})",
+    };
+    for (const std::string &value : damaged) {
+        const auto read = platform::readStorePage(
+            page(item("servers/bad", value, 1) + ',' + item("servers/i-1", Server, 5)), AgentPort);
+        ASSERT_TRUE(read);
+        ASSERT_EQ(read.value().changes.size(), 2U);
+        Directory directory;
+        EXPECT_TRUE(hasErrors(directory.take(read.value().changes[0], Instant())));
+        EXPECT_FALSE(hasErrors(directory.take(read.value().changes[1], Instant())));
+        EXPECT_EQ(directory.upstreams().size(), 1U);
+    }
+}
+
+TEST(StorePage, AnAnswerCutHalfWayIsAnError)
+{
+    const std::string whole = page(item("servers/i-1", Server, 5));
+    for (std::size_t size = 0; size < whole.size(); size += 7) {
+        EXPECT_FALSE(platform::readStorePage(whole.substr(0, size), AgentPort));
+    }
+}
+
+RC_GTEST_PROP(StorePageProperty, SurvivesAnyValue, (const std::string &value))
+{
+    const auto read = platform::readStorePage(
+        page(item("servers/x", value, 1) + ',' + item("op/config", value, 2)), AgentPort);
+    RC_ASSERT(read.has_value());
+    Directory directory;
+    for (const SectionChange &change : read.value().changes) {
+        (void)directory.take(change, Instant());
+    }
+}
--- /dev/null
+++ b/tests/unit-steering-directory.cpp
@@ -0,0 +1,197 @@
+#include "steering_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace bergamotglade;
+using namespace bergamotglade::tests;
+
+namespace {
+
+const Instant Start {Millis(1'000'000)};
+
+UpstreamEntry entry(const std::string &id, const std::string &service, std::uint32_t host)
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId(id);
+    entry.service = ServiceName(service);
+    entry.domain = FailureDomainId("a");
+    entry.address = {0x0a010000 + host, 8165};
+    entry.agent = {0x0a010000 + host, 8172};
+    entry.slots = 4;
+    return entry;
+}
+
+SectionChange change(const UpstreamEntry &entry, std::uint64_t revision = 1)
+{
+    return {SectionName("upstream/" + entry.id.str()), Revision(revision), encode(entry)};
+}
+
+SectionChange removal(const std::string &id, bool lapsed, std::uint64_t revision = 2)
+{
+    return {SectionName("upstream/" + id), Revision(revision), {}, true, lapsed};
+}
+
+} // namespace
+
+// Entries
+
+TEST(Directory, AnEntryThatExpiredAroundAnOutageStaysForAWhile)
+{
+    Directory directory;
+    directory.take(change(entry("x", "kits", 1)), Start);
+    directory.take(removal("x", true), Start + Millis(10));
+    directory.expire(Start + Millis(2000));
+    EXPECT_EQ(directory.upstreams().size(), 1U);
+    directory.expire(Start + Millis(2300));
+    EXPECT_TRUE(directory.upstreams().empty());
+}
+
+TEST(Directory, AnEntryThatComesBackInTimeIsNotRemovedLater)
+{
+    Directory directory;
+    directory.take(change(entry("x", "kits", 1)), Start);
+    directory.take(removal("x", true), Start + Millis(10));
+    directory.take(change(entry("x", "kits", 1), 3), Start + Millis(1500));
+    directory.expire(Start + Millis(9000));
+    EXPECT_EQ(directory.upstreams().size(), 1U);
+}
+
+TEST(Directory, AnEntryThatWasRemovedOnACalmDayIsGoneAtOnce)
+{
+    Directory directory;
+    directory.take(change(entry("x", "kits", 1)), Start);
+    directory.take(removal("x", false), Start + Millis(10));
+    EXPECT_TRUE(directory.upstreams().empty());
+    EXPECT_EQ(directory.table(ServiceName("kits")), nullptr);
+}
+
+TEST(Directory, ALeavingEntryThatExpiresIsGoneAtOnce)
+{
+    Directory directory;
+    UpstreamEntry leaving = entry("x", "kits", 1);
+    leaving.leaving = true;
+    directory.take(change(leaving), Start);
+    directory.take(removal("x", true), Start + Millis(10));
+    EXPECT_TRUE(directory.upstreams().empty());
+}
+
+TEST(Directory, AnAddressBelongsToWhoeverRegisteredItLast)
+{
+    Directory directory;
+    directory.take(change(entry("old", "kits", 1)), Start);
+    directory.take(change(entry("new", "documents", 1)), Start);
+    EXPECT_EQ(directory.upstreamAt({0x0a010001, 8165})->entry.service, ServiceName("documents"));
+    EXPECT_EQ(directory.table(ServiceName("kits")), nullptr);
+    // The late removal of the former holder harms nobody.
+    directory.take(removal("old", false), Start);
+    EXPECT_NE(directory.upstreamAt({0x0a010001, 8165}), nullptr);
+}
+
+TEST(Directory, ADamagedEntryNamesNothingAndHarmsNoOther)
+{
+    Directory directory;
+    directory.take(change(entry("x", "kits", 1)), Start);
+    const Findings findings =
+        directory.take({SectionName("upstream/y"), Revision(2), "unreadable item: ["}, Start);
+    EXPECT_TRUE(hasErrors(findings));
+    EXPECT_EQ(directory.upstreams().size(), 1U);
+    const Findings own =
+        directory.take({SectionName("upstream/x"), Revision(3), R"({"id":"x"})"}, Start);
+    EXPECT_TRUE(hasErrors(own));
+    EXPECT_TRUE(directory.upstreams().empty());
+}
+
+TEST(Directory, BadRoutesLeaveTheLastGoodOnesInForce)
+{
+    Directory directory;
+    directory.take(SteeringFleet::routesTo({{"kits", 1}}), Start);
+    EXPECT_TRUE(hasErrors(directory.take({RootName, Revision(2), "{"}, Start)));
+    EXPECT_NE(directory.routeAt(SteeringFleet::RouteAddress), nullptr);
+}
+
+TEST(Directory, AFormerServiceOfARouteIsSearchedButGetsNoNewFlows)
+{
+    Directory directory;
+    directory.take(change(entry("x", "kits", 1)), Start);
+    directory.take(change(entry("y", "documents", 2)), Start);
+    directory.take(SteeringFleet::routesTo({{"kits", 1}}), Start);
+    directory.take(SteeringFleet::routesTo({{"documents", 1}}), Start);
+    const RouteEntry &route = *directory.routeAt(SteeringFleet::RouteAddress);
+    const FlowKey flow {{1, 1}, SteeringFleet::RouteAddress};
+    EXPECT_EQ(directory.holders(route, flow).size(), 2U);
+    EXPECT_EQ(Directory::serviceFor(route, flow), ServiceName("documents"));
+    directory.expire(Start + Millis(61'000));
+    EXPECT_EQ(directory.holders(route, flow).size(), 1U);
+}
+
+TEST(Directory, WeightsOfASplitDivideNewFlows)
+{
+    Directory directory;
+    directory.take(SteeringFleet::routesTo({{"kits", 90}, {"documents", 10}}), Start);
+    const RouteEntry &route = *directory.routeAt(SteeringFleet::RouteAddress);
+    constexpr std::uint32_t Flows = 10'000;
+    std::uint32_t second = 0;
+    for (std::uint32_t i = 0; i < Flows; ++i) {
+        const FlowKey flow {{i + 1, 1}, SteeringFleet::RouteAddress};
+        second += Directory::serviceFor(route, flow) == ServiceName("documents") ? 1 : 0;
+    }
+    EXPECT_NEAR(second, Flows / 10, Flows / 50);
+}
+
+TEST(Directory, TakesAnnouncementsOnlyWhileEntriesMayBeMissing)
+{
+    Directory directory;
+    const Announcement announced {ServiceName("kits"), FailureDomainId("a"), {2, 2}, {2, 1}, 4};
+    EXPECT_TRUE(directory.announce(announced, Start));
+    EXPECT_NE(directory.table(ServiceName("kits")), nullptr);
+    directory.take(SteeringFleet::routesTo({{"kits", 1}}), Start);
+    directory.expire(Start + Millis(2600));
+    EXPECT_TRUE(directory.upstreams().empty());
+    EXPECT_FALSE(directory.announce(announced, Start + Millis(2600)));
+}
+
+// The store beneath it
+
+TEST(ConfigStoreSnapshot, RemovesWhatItLacks)
+{
+    std::vector<std::string> removed;
+    ConfigStore store({}, [&](const SectionChange &c) {
+        if (c.removed) {
+            removed.push_back(c.name.str());
+        }
+        return Findings {};
+    });
+    ChangeBatch first;
+    first.upTo = Revision(5);
+    first.snapshot = true;
+    first.changes = {{RootName, Revision(1), "r"}, {SectionName("upstream/x"), Revision(2), "x"}};
+    store.take(first);
+    ChangeBatch second = first;
+    second.upTo = Revision(9);
+    second.changes.pop_back();
+    store.take(second);
+    EXPECT_EQ(removed, std::vector<std::string> {"upstream/x"});
+    EXPECT_EQ(store.revision(), Revision(9));
+    // An older list says nothing.
+    store.take(first);
+    EXPECT_EQ(store.changesSince(Revision(0)).changes.back().removed, true);
+}
+
+TEST(ConfigStoreSnapshot, KeepsWhatIsNewerThanTheList)
+{
+    std::size_t removals = 0;
+    ConfigStore store({}, [&](const SectionChange &c) {
+        removals += c.removed ? 1 : 0;
+        return Findings {};
+    });
+    ChangeBatch event;
+    event.since = Revision(0);
+    event.upTo = Revision(20);
+    event.changes = {{SectionName("upstream/x"), Revision(20), "x"}};
+    store.take(event);
+    ChangeBatch list;
+    list.upTo = Revision(10);
+    list.snapshot = true;
+    store.take(list);
+    EXPECT_EQ(removals, 0U);
+}
--- /dev/null
+++ b/tests/unit-steering-rules.cpp
@@ -0,0 +1,423 @@
+#include "steering_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace bergamotglade;
+using namespace bergamotglade::tests;
+
+namespace {
+
+/// One service of three upstreams in two failure domains, one balancer.
+struct Small : SteeringFleet
+{
+    explicit Small(double coldPerSecond = 0, std::size_t upstreams = 3)
+    {
+        publish(routesTo({{"kits", 1}}, coldPerSecond));
+        for (std::size_t i = 0; i < upstreams; ++i) {
+            addUpstream("kits", i == 0 ? "a" : "b");
+        }
+        addBalancer();
+        runFor(Millis(3000));
+    }
+
+    void load(std::size_t flows, Millis gap = Millis(5))
+    {
+        for (std::size_t i = 0; i < flows; ++i) {
+            openFlow(0);
+            runFor(gap);
+        }
+        runFor(Millis(500));
+    }
+};
+
+std::size_t answeredOf(SteeringFleet &fleet, std::size_t flows)
+{
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < flows; ++i) {
+        answered += fleet.flow(i).answered ? 1 : 0;
+    }
+    return answered;
+}
+
+} // namespace
+
+// Calm
+
+TEST(SteeringCalm, EveryFlowIsAnsweredAndSpread)
+{
+    Small fleet;
+    fleet.load(300);
+    EXPECT_EQ(answeredOf(fleet, 300), 300U);
+    EXPECT_EQ(fleet.resets(), 0U);
+    for (std::size_t i = 0; i < 3; ++i) {
+        EXPECT_GT(fleet.upstream(i).openings.size(), 60U);
+    }
+}
+
+// Routes
+
+TEST(SteeringRoutes, AgentOfAnotherServiceDeliversNoOpening)
+{
+    Small fleet;
+    const std::size_t other = fleet.addUpstream("documents", "a");
+    // A balancer that holds an old entry sends flows to an address that serves another service.
+    SectionChange stale = fleet.entryOf(other);
+    UpstreamEntry entry = decodeUpstream(stale.text).value();
+    entry.service = ServiceName("kits");
+    stale.text = encode(entry);
+    fleet.publishAtBalancer(0, stale);
+    fleet.load(100);
+    EXPECT_TRUE(fleet.upstream(other).openings.empty());
+    EXPECT_EQ(answeredOf(fleet, 100), 100U);
+}
+
+TEST(SteeringRoutes, UnknownRouteIsResetAtOnce)
+{
+    Small fleet;
+    RouteDocument none;
+    none.version = 2;
+    fleet.publish({RootName, Revision(2), encode(none)});
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(10));
+    EXPECT_TRUE(fleet.flow(flow).wasReset);
+}
+
+// Leaving upstreams, failure domains that are out
+
+TEST(SteeringLeaving, GetsNoNewFlowsAlsoFromABalancerThatDoesNotKnow)
+{
+    Small fleet;
+    SteeringFleet &all = fleet;
+    all.publish(all.entryOf(0, true));
+    // The balancer has not heard of it yet.
+    all.publishAtBalancer(0, all.entryOf(0));
+    fleet.load(100);
+    EXPECT_TRUE(fleet.upstream(0).openings.empty());
+    EXPECT_EQ(answeredOf(fleet, 100), 100U);
+}
+
+TEST(SteeringLeaving, KeepsItsOpenFlows)
+{
+    Small fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(50));
+    fleet.publish(fleet.entryOf(0, true));
+    fleet.runFor(Millis(1000));
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(answeredOf(fleet, 12), 12U);
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+TEST(SteeringDomainOut, GetsNoNewFlowsAlsoFromABalancerThatDoesNotKnow)
+{
+    Small fleet;
+    fleet.publish(fleet.domainOut("a"));
+    fleet.publishAtBalancer(0, fleet.domainOut("a", false));
+    fleet.load(100);
+    EXPECT_TRUE(fleet.upstream(0).openings.empty());
+    EXPECT_EQ(answeredOf(fleet, 100), 100U);
+}
+
+TEST(SteeringDomainOut, TakesFlowsAgainWhenItIsBack)
+{
+    Small fleet;
+    fleet.publish(fleet.domainOut("a"));
+    fleet.load(20);
+    fleet.publish(fleet.domainOut("a", false));
+    fleet.load(100);
+    EXPECT_FALSE(fleet.upstream(0).openings.empty());
+}
+
+// Cold upstreams
+
+TEST(SteeringCold, GetsNoMoreThanItsRateFromAllBalancersTogether)
+{
+    constexpr double Rate = 10;
+    Small fleet(Rate);
+    fleet.addBalancer();
+    fleet.addBalancer();
+    fleet.publish(fleet.entryOf(0, false, Millis(4000)));
+    for (std::size_t i = 0; i < 600; ++i) {
+        fleet.openFlow(i % 3);
+        fleet.runFor(Millis(5));
+    }
+    const auto &openings = fleet.upstream(0).openings;
+    for (std::size_t i = 0; i < openings.size(); ++i) {
+        const auto later = std::count_if(openings.begin(), openings.end(), [&](Instant at) {
+            return at >= openings[i] && at < openings[i] + Millis(1000);
+        });
+        EXPECT_LE(static_cast<double>(later), Rate * 1.5 + 5);
+    }
+    EXPECT_FALSE(openings.empty());
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+// Open flows
+
+TEST(SteeringFlows, SurviveAnotherBalancer)
+{
+    Small fleet(0, 6);
+    fleet.addBalancer();
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 40; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(100));
+    for (const std::size_t flow : flows) {
+        fleet.flow(flow).balancer = 1;
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(answeredOf(fleet, 40), 40U);
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+TEST(SteeringFlows, SurviveARestartOfTheirAgentAndBalancer)
+{
+    Small fleet(0, 6);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 40; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(100));
+    for (std::size_t i = 0; i < 6; ++i) {
+        fleet.restartAgent(i);
+    }
+    fleet.restartBalancer(0);
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(answeredOf(fleet, 40), 40U);
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+TEST(SteeringFlows, OfAnUpstreamThatTheSearchingBalancerDoesNotKnowAreNotReset)
+{
+    Small fleet(0, 2);
+    const std::size_t late = fleet.addUpstream("kits", "b");
+    fleet.runFor(Millis(100));
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 20; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(100));
+    // The other balancer and the agents lack the new upstream for a moment.
+    const SectionChange entry = fleet.entryOf(late);
+    SectionChange missing = entry;
+    missing.removed = true;
+    fleet.publish(missing);
+    fleet.addBalancer();
+    for (const std::size_t flow : flows) {
+        fleet.flow(flow).balancer = 1;
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(100));
+    fleet.publish(entry);
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(fleet.resets(), 0U);
+    EXPECT_EQ(answeredOf(fleet, 20), 20U);
+}
+
+TEST(SteeringFlows, ThatNobodyHoldsAreResetAtTheSecondSearch)
+{
+    Small fleet;
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.upstream(i).flows.clear();
+    }
+    fleet.request(flow);
+    fleet.runFor(Millis(100));
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+    fleet.runFor(Millis(100));
+    fleet.request(flow);
+    fleet.runFor(Millis(100));
+    EXPECT_TRUE(fleet.flow(flow).wasReset);
+}
+
+TEST(SteeringFlows, AreNotResetWhileAHolderCannotBeAsked)
+{
+    Small fleet;
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    const std::size_t owner = fleet.upstreamOf(flow);
+    fleet.deadAgents.insert(owner);
+    fleet.restartBalancer(0);
+    for (int i = 0; i < 5; ++i) {
+        fleet.request(flow);
+        fleet.runFor(Millis(200));
+    }
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+    fleet.deadAgents.clear();
+    fleet.request(flow);
+    fleet.runFor(Millis(200));
+    EXPECT_TRUE(fleet.flow(flow).answered);
+}
+
+TEST(SteeringFlows, OfASlowUpstreamAreNotReset)
+{
+    Small fleet(0, 1);
+    fleet.upstream(0).work = Millis(3000);
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(3500));
+    EXPECT_TRUE(fleet.flow(flow).answered);
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+}
+
+// Failures
+
+TEST(SteeringFailures, OpeningsOfASilentUpstreamAreOfferedElsewhereSoon)
+{
+    Small fleet;
+    fleet.upstream(0).dead = true;
+    fleet.load(100);
+    EXPECT_EQ(answeredOf(fleet, 100), 100U);
+    for (std::size_t i = 0; i < 100; ++i) {
+        EXPECT_LE(fleet.flow(i).answeredAt - fleet.flow(i).openedAt, Millis(150));
+    }
+}
+
+TEST(SteeringFailures, OpeningsToADeadAgentAreOfferedElsewhereSoon)
+{
+    Small fleet;
+    fleet.deadAgents.insert(1);
+    fleet.load(100);
+    EXPECT_EQ(answeredOf(fleet, 100), 100U);
+    for (std::size_t i = 0; i < 100; ++i) {
+        EXPECT_LE(fleet.flow(i).answeredAt - fleet.flow(i).openedAt, Millis(190));
+    }
+}
+
+TEST(SteeringFailures, FlowsOfACrashedUpstreamAreResetSoTheCallerRetries)
+{
+    Small fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 30; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(50));
+    fleet.upstream(0).dead = true;
+    std::size_t held = 0;
+    for (const std::size_t flow : flows) {
+        if (fleet.upstreamOf(flow) == 0) {
+            ++held;
+            fleet.request(flow);
+        }
+    }
+    fleet.load(200, Millis(10));
+    EXPECT_GT(held, 0U);
+    EXPECT_EQ(fleet.resets(), held);
+}
+
+TEST(SteeringFailures, FullUpstreamsPassOpeningsOnAndAllFullMeansAResetAtOnce)
+{
+    Small fleet;
+    fleet.upstream(0).full = true;
+    fleet.upstream(1).full = true;
+    fleet.load(60, Millis(20));
+    EXPECT_EQ(answeredOf(fleet, 60), 60U);
+    fleet.upstream(2).full = true;
+    const std::size_t refused = fleet.openFlow(0);
+    fleet.runFor(Millis(30));
+    EXPECT_TRUE(fleet.flow(refused).wasReset);
+}
+
+TEST(SteeringFailures, AStoppingAgentHandsOpeningsOnAndKeepsItsFlows)
+{
+    Small fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(50));
+    const std::size_t before = fleet.upstream(0).openings.size();
+    fleet.agent(0).stop(fleet.now());
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.load(100);
+    EXPECT_EQ(fleet.upstream(0).openings.size(), before);
+    EXPECT_EQ(answeredOf(fleet, 112), 112U);
+}
+
+TEST(SteeringPause, AProcessThatMayNotActPlacesNothing)
+{
+    Small fleet;
+    fleet.mayAct = false;
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(500));
+    for (std::size_t i = 0; i < 3; ++i) {
+        EXPECT_TRUE(fleet.upstream(i).openings.empty());
+    }
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+    fleet.mayAct = true;
+    fleet.runFor(Millis(200));
+    EXPECT_TRUE(fleet.flow(flow).answered);
+}
+
+TEST(SteeringPause, AnAgentThatWakesDoesNotTakeItsUpstreamForCrashed)
+{
+    Small fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0));
+    }
+    fleet.runFor(Millis(8));
+    // The agents stand still while the upstreams' answers wait.
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.agent(i).onTick(fleet.now() + Millis(4000));
+    }
+    fleet.runFor(Millis(1000));
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+// Start with nothing
+
+TEST(SteeringStart, HeldFlowsArePlacedWhenRoutesComeAndAgentsAnnounceThemselves)
+{
+    SteeringFleet fleet;
+    for (int i = 0; i < 3; ++i) {
+        fleet.addUpstream("kits", "a", false, false);
+    }
+    fleet.addBalancer(false);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 20; ++i) {
+        flows.push_back(fleet.openFlow(0));
+    }
+    fleet.runFor(Millis(1000));
+    // The platform is back with the routes; entries of upstreams have expired.
+    fleet.publish(SteeringFleet::routesTo({{"kits", 1}}));
+    fleet.runFor(Millis(300));
+    EXPECT_EQ(answeredOf(fleet, 20), 20U);
+    EXPECT_EQ(fleet.resets(), 0U);
+}
+
+TEST(SteeringStart, AnAnnouncedUpstreamWhoseEntryStaysMissingIsGone)
+{
+    SteeringFleet fleet;
+    fleet.publish(SteeringFleet::routesTo({{"kits", 1}}));
+    fleet.addUpstream("kits", "a", false);
+    fleet.addUpstream("kits", "a", true);
+    fleet.addBalancer();
+    fleet.runFor(Millis(3000));
+    const std::size_t before = fleet.upstream(0).openings.size();
+    for (int i = 0; i < 50; ++i) {
+        fleet.openFlow(0);
+        fleet.runFor(Millis(10));
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(fleet.upstream(0).openings.size(), before);
+    EXPECT_EQ(answeredOf(fleet, 50), 50U);
+}
