Queue new flows at agents, those that can be in time first

Ruled out: slow starts (processes are ready 15 to 60 ms after they start). Change: an agent gives its upstream no more flows than slots and a quarter; the rest waits by deadline and priority, late ones last, and is reset when the caller gives up.

--- a/include/bergamotglade/detail/admission/load_board.hpp
+++ b/include/bergamotglade/detail/admission/load_board.hpp
@@ -59,6 +59,8 @@
 
     /// @brief What is known of a peer's load; an idle one of the usual speed where nothing is.
     [[nodiscard]] LoadEstimate estimate(const Endpoint &peer, Instant now) const;
+    /// @brief When the peer reported last; the zero instant where it never did.
+    [[nodiscard]] Instant heardAt(const Endpoint &peer) const;
     /// @brief Age of the peer's last report; zero where there is none.
     [[nodiscard]] Millis ageOf(const Endpoint &peer, Instant now) const;
     /// @brief Whether the peer reported lately.
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <bergamotglade/detail/admission/load_board.hpp>
+#include <bergamotglade/detail/admission/opening_queue.hpp>
 #include <bergamotglade/detail/admission/rate_limit.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
 #include <bergamotglade/detail/steering/owned_flow.hpp>
@@ -23,13 +24,32 @@
     Millis offerTimeout {40};
     /// A silent upstream is tried again with one new flow after this.
     Millis probeInterval {300};
+    /// A caller that has not answered the upstream after this has given up: round trips to callers
+    /// take a few milliseconds.
+    Millis callerAnswer {150};
+    /// A request without a packet of either end for this long is not running any more.
+    Millis busyTimeout {3000};
+    /// Packets unanswered for this long make an upstream suspect: it gets one new flow as a probe
+    /// though it seems full.
+    Millis suspectTime {100};
     /// An upstream that left this many packets in a row unanswered, over crashTime, has crashed.
     std::uint32_t crashPackets = 3;
     Millis crashTime {400};
     /// Agents that one opening packet may pass before it must be taken or refused.
     std::uint8_t hopsMax = 4;
-    /// Requests taken beyond the slots before new flows are handed on, as a share of the slots.
-    double queueShare = 0.25;
+    /// Packets follow the note of a flow that was handed on only this far: two notes may point at
+    /// each other.
+    std::uint8_t noteHopsMax = 8;
+    /// After the upstream refused a flow, the agent counts as full for this long.
+    Millis refusing {300};
+    /// Flows given to the upstream beyond its slots, as a share of them: a flow takes a round
+    /// trip to its caller before it takes a slot.
+    double handshakeShare = 0.25;
+    /// Flows that wait here for a slot, and for how long: callers give up after 1.4 s.
+    std::size_t queueMax = 256;
+    Millis queueTime {1300};
+    /// Usual times that a request may take and still count as in time; work varies.
+    double inTimeFactor = 1.5;
     /// A search that found no owner must fail twice, this far apart, before the flow is reset: the
     /// lists of two processes may differ for a moment.
     Millis searchAgain {150};
@@ -43,7 +63,7 @@
     std::size_t reportTargetsMax = 24;
     std::size_t flowsMax = 50'000;
     /// Slots of an upstream whose entry is not known yet.
-    std::uint32_t slotsUnknown = 4;
+    std::uint32_t slotsUnknown = 8;
     /// Ticks further apart mean that the process did not run: nothing is concluded from silence.
     Millis pause {200};
 };
@@ -53,6 +73,8 @@
     std::uint64_t delivered = 0;
     std::uint64_t returned = 0; ///< packets that the upstream would not take
     std::uint64_t opened = 0;
+    std::uint64_t queued = 0; ///< new flows that had to wait for a slot
+    std::uint64_t queueRefused = 0; ///< new flows reset because they waited for too long
     std::uint64_t handedOn = 0;
     std::uint64_t passedOn = 0; ///< packets of flows that are not owned here
     std::uint64_t resetUnclaimed = 0;
@@ -110,15 +132,24 @@
 
     void onOpening(const Segment &segment, PacketBytes bytes, Instant now);
     void onContinuation(const Segment &segment, PacketBytes bytes, Instant now);
+    void handleUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onReturned(const Segment &segment, PacketBytes bytes, Instant now);
-    [[nodiscard]] std::string_view whyNotHere(const RouteEntry &route, const Trail &trail,
-                                              Instant now);
-    void take(const Segment &segment, PacketBytes bytes, Instant now);
+    [[nodiscard]] std::string_view whyNotHere(const RouteEntry &route, Instant now);
+    [[nodiscard]] bool coldAdmits(Instant now);
+    [[nodiscard]] bool isFull() const;
+    [[nodiscard]] bool isSuspect(Instant now) const;
+    [[nodiscard]] bool takesProbe(Instant now);
+    [[nodiscard]] std::optional<Endpoint> betterPeer(Instant now) const;
+    void enqueue(const Segment &segment, PacketBytes bytes, const RouteEntry &route, Instant now);
+    void refuseQueued(const QueuedOpening &opening, std::string_view reason, Instant now);
+    void serveQueue(Instant now);
+    void take(const FlowKey &key, const Trail &trail, PacketBytes bytes, Instant now);
     void handOn(const FlowKey &key, PacketBytes bytes, Trail trail, std::string_view reason,
                 std::uint32_t acknowledgement, Instant now);
     void passOn(const Segment &segment, PacketBytes bytes, std::string_view reason, Instant now);
+    void follow(const Endpoint &agent, const Segment &segment, PacketBytes bytes, Instant now);
     void onUnclaimed(const Segment &segment, const Trail &trail, Instant now);
-    void deliver(const FlowKey &key, PacketBytes bytes, Instant now);
+    void deliver(const PacketBytes &bytes, Instant now);
     void reset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
                Instant now);
     void setBusy(OwnedFlow &flow, bool busy, Instant now);
@@ -126,6 +157,8 @@
     void onPause(Instant now);
     void checkOffers(Instant now);
     void checkCrash(Instant now);
+    void checkAccepted(Instant now);
+    void setWaiting(OwnedFlow &flow, bool waiting);
     void checkIncarnation(Instant now);
     [[nodiscard]] std::vector<Endpoint> reportTargets(Instant now);
     void forgetOld(Instant now);
@@ -143,13 +176,15 @@
     Random m_random;
     LoadBoard m_board;
     RateLimit m_coldLimit;
+    OpeningQueue m_queue;
     std::unordered_map<FlowKey, OwnedFlow> m_flows;
     std::deque<FlowKey> m_sweep;
-    std::deque<FlowKey> m_offered;
+    std::deque<FlowKey> m_offered; ///< flows given to the upstream, oldest first
+    std::deque<FlowKey> m_accepted; ///< flows that wait for the caller's answer, oldest first
     std::unordered_map<FlowKey, FailedSearch> m_failedSearches;
     std::unordered_map<Endpoint, Instant> m_senders; ///< processes that sent new flows lately
     std::uint32_t m_busy = 0;
-    std::uint32_t m_waiting = 0; ///< flows offered to the upstream or accepted, without a request
+    std::uint32_t m_waiting = 0; ///< flows given to the upstream that are not open yet
     double m_serviceTimeMs = 0;
     bool m_stopping = false;
     bool m_silent = false; ///< the upstream leaves packets unanswered
@@ -157,6 +192,7 @@
     std::uint32_t m_unanswered = 0;
     Instant m_unansweredSince;
     Instant m_probeAt;
+    Instant m_refusedAt;
     Instant m_startedAt;
     Instant m_nextReport;
     Instant m_lastTick;
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -28,8 +28,6 @@
     /// give up after 1.4 s.
     std::size_t heldMax = 4096;
     Millis heldMaxAge {1300};
-    /// Held flows are placed while the best agent's load is below this many times its slots.
-    double heldUse = 1.5;
     /// Ticks further apart mean that the process did not run: nothing is concluded from silence.
     Millis pause {200};
 };
@@ -93,6 +91,7 @@
                                                  const std::vector<Endpoint> &tried, Instant now);
     [[nodiscard]] std::optional<Endpoint> leastLoaded(const std::vector<Endpoint> &agents,
                                                       Instant now) const;
+    [[nodiscard]] bool hasArrived(const Placed &flow) const;
     [[nodiscard]] bool isDoubted(const Endpoint &agent, Instant now) const;
     void note(std::string_view decision, std::string_view reason, const FlowKey &flow,
               const Endpoint &target, Instant now);
@@ -113,8 +112,7 @@
         PacketBytes bytes;
         Instant since;
     };
-    std::deque<Held> m_held; ///< oldest first
-    std::unordered_map<FlowKey, Instant> m_heldSince;
+    std::unordered_map<FlowKey, Held> m_held;
     std::deque<FlowKey> m_sweep; ///< order in which flows are looked at for expiry
     std::unordered_map<Endpoint, Instant> m_doubtedUntil;
     Instant m_lastTick;
--- a/include/bergamotglade/detail/steering/entries.hpp
+++ b/include/bergamotglade/detail/steering/entries.hpp
@@ -27,6 +27,8 @@
 {
     Endpoint address;
     std::vector<WeightedService> services;
+    Millis target {}; ///< latency objective of the requests inside; 0 states none
+    std::uint32_t priority = 0; ///< 0 is the highest
 };
 
 /// Limits of one service.
--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -24,6 +24,8 @@
     Instant offeredAt;
     Instant busySince;
     bool busy = false; ///< a request waits for the upstream
+    bool waiting = false; ///< will take a slot as soon as the caller answers
+    Instant acceptedAt;
     /// First sequence number of the upstream, from its answer to the opening packet.
     std::optional<std::uint32_t> upstreamSequence;
     /// Last acknowledgement of the caller: resets must be close to it.
--- a/include/bergamotglade/detail/steering/segment.hpp
+++ b/include/bergamotglade/detail/steering/segment.hpp
@@ -2,8 +2,10 @@
 /// What steering reads of a packet, and what one process tells the next with it.
 #pragma once
 
+#include <bergamotglade/detail/core/clock.hpp>
 #include <bergamotglade/detail/flow/flow_key.hpp>
 
+#include <functional>
 #include <string>
 
 namespace bergamotglade {
@@ -34,6 +36,8 @@
     std::uint32_t sequence = 0;
     std::uint32_t acknowledgement = 0;
     std::uint32_t dataBytes = 0;
+    /// Of an opening packet: how long ago its sender sent the first copy.
+    Millis openedAgo {};
     Trail trail;
 };
 
--- a/src/admission/load_board.cpp
+++ b/src/admission/load_board.cpp
@@ -97,6 +97,12 @@
     return estimateOf(found->second, usualTimeMs(now));
 }
 
+Instant LoadBoard::heardAt(const Endpoint &peer) const
+{
+    const auto found = m_peers.find(peer);
+    return found == m_peers.end() ? Instant() : found->second.heard;
+}
+
 Millis LoadBoard::ageOf(const Endpoint &peer, Instant now) const
 {
     const auto found = m_peers.find(peer);
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -155,6 +155,8 @@
         metrics.count("to_callers", "Packets of the upstream sent to callers", c.toCallers);
         metrics.count("returned", "Packets that the upstream would not take", c.returned);
         metrics.count("opened", "New flows offered to the upstream", c.opened);
+        metrics.count("queued", "New flows that waited for a slot", c.queued);
+        metrics.count("queue_refused", "New flows reset after waiting", c.queueRefused);
         metrics.count("handed_on", "New flows handed on to another agent", c.handedOn);
         metrics.count("passed_on", "Packets of flows owned elsewhere", c.passedOn);
         metrics.count("reset_unclaimed", "Flows reset: no upstream holds them", c.resetUnclaimed);
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -18,11 +18,6 @@
     return stage == FlowStage::Offered || stage == FlowStage::Accepted || stage == FlowStage::Open;
 }
 
-bool isWaiting(const OwnedFlow &flow)
-{
-    return flow.stage == FlowStage::Offered || flow.stage == FlowStage::Accepted;
-}
-
 } // namespace
 
 AgentSteering::AgentSteering(AgentSteeringSettings settings, Directory &directory,
@@ -34,6 +29,7 @@
     , m_hooks(std::move(hooks))
     , m_random(random)
     , m_board({}, std::move(random))
+    , m_queue(m_settings.queueMax)
     , m_startedAt(now)
 { }
 
@@ -59,7 +55,7 @@
     if (known != m_flows.end() && isOpen(known->second.stage) && !m_silent) {
         // A copy: the upstream answers it again.
         known->second.seen = now;
-        deliver(segment.flow, std::move(bytes), now);
+        deliver(bytes, now);
         return;
     }
     const RouteEntry *route = m_directory.routeAt(segment.flow.service);
@@ -68,16 +64,34 @@
         ++m_counters.silent;
         return;
     }
-    const std::string_view reason = whyNotHere(*route, segment.trail, now);
-    if (reason.empty()) {
-        take(segment, std::move(bytes), now);
+    if (m_queue.contains(segment.flow)) {
+        return;
+    }
+    const std::string_view reason = whyNotHere(*route, now);
+    if (!reason.empty()) {
+        handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement,
+               now);
+        return;
+    }
+    const bool full = (isFull() || !m_queue.empty()) && !takesProbe(now);
+    if (!full && coldAdmits(now)) {
+        take(segment.flow, segment.trail, std::move(bytes), now);
+        return;
+    }
+    if (!full) {
+        handOn(segment.flow, std::move(bytes), segment.trail, "upstream is cold",
+               segment.acknowledgement, now);
+        return;
+    }
+    if (segment.trail.hops < m_settings.hopsMax && betterPeer(now)) {
+        handOn(segment.flow, std::move(bytes), segment.trail, "upstream is full",
+               segment.acknowledgement, now);
         return;
     }
-    handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement, now);
+    enqueue(segment, std::move(bytes), *route, now);
 }
 
-std::string_view AgentSteering::whyNotHere(const RouteEntry &route, const Trail &trail,
-                                           Instant now)
+std::string_view AgentSteering::whyNotHere(const RouteEntry &route, Instant now)
 {
     if (!Directory::allows(route, m_settings.service)) {
         return "service is not of the route";
@@ -105,37 +119,120 @@
         m_probeAt = now + m_settings.probeInterval;
         return {};
     }
-    const double coldRate = m_directory.coldPerSecond(m_settings.service);
+    return {};
+}
+
+bool AgentSteering::coldAdmits(Instant now)
+{
+    const KnownUpstream *self = m_directory.upstreamAt(m_settings.upstream);
+    const double rate = m_directory.coldPerSecond(m_settings.service);
     const bool cold = self == nullptr || now < self->coldUntil;
-    if (cold && coldRate > 0 && !m_coldLimit.admit(coldRate, now)) {
-        return "upstream is cold";
-    }
-    const LoadEstimate own = load(now);
-    const bool full = own.running + own.queued >= own.limit * (1 + m_settings.queueShare);
-    if (!full || trail.hops >= m_settings.hopsMax) {
-        return {};
+    return !cold || rate <= 0 || m_coldLimit.admit(rate, now);
+}
+
+bool AgentSteering::isFull() const
+{
+    const double beyond = std::max(1.0, slots() * m_settings.handshakeShare);
+    return m_busy + m_waiting >= slots() + beyond;
+}
+
+bool AgentSteering::isSuspect(Instant now) const
+{
+    return m_unanswered >= m_settings.crashPackets
+        && now - m_unansweredSince >= m_settings.suspectTime && now >= m_probeAt;
+}
+
+bool AgentSteering::takesProbe(Instant now)
+{
+    if (!isSuspect(now)) {
+        return false;
     }
-    const auto better = m_board.clearlyBetter(own, now, [&](const Endpoint &agent) {
+    m_probeAt = now + m_settings.probeInterval;
+    return true;
+}
+
+std::optional<Endpoint> AgentSteering::betterPeer(Instant now) const
+{
+    return m_board.clearlyBetter(load(now), now, [&](const Endpoint &agent) {
         const KnownUpstream *peer = m_directory.upstreamOf(agent);
         return agent != m_settings.self && peer != nullptr && m_directory.takesFlows(*peer);
     });
-    return better ? "upstream is full" : std::string_view {};
 }
 
-void AgentSteering::take(const Segment &segment, PacketBytes bytes, Instant now)
+void AgentSteering::enqueue(const Segment &segment, PacketBytes bytes, const RouteEntry &route,
+                            Instant now)
+{
+    const Millis usual(static_cast<std::int64_t>(m_serviceTimeMs * m_settings.inTimeFactor));
+    QueuedOpening opening;
+    opening.flow = segment.flow;
+    opening.bytes = std::move(bytes);
+    opening.trail = segment.trail;
+    opening.acknowledgement = segment.acknowledgement;
+    opening.openedAt = now - segment.openedAgo;
+    opening.inTimeUntil = opening.openedAt + route.target - usual;
+    opening.priority = route.priority;
+    ++m_counters.queued;
+    note("queue", "upstream is full", segment.flow, m_settings.upstream, now);
+    const auto displaced = m_queue.push(std::move(opening), now);
+    if (displaced) {
+        refuseQueued(*displaced, "queue is full", now);
+    }
+    // The sender learns from a report that the flow has arrived.
+    m_nextReport = now;
+}
+
+void AgentSteering::refuseQueued(const QueuedOpening &opening, std::string_view reason,
+                                 Instant now)
 {
-    drop(segment.flow);
-    OwnedFlow &flow = m_flows[segment.flow];
-    m_sweep.push_back(segment.flow);
+    ++m_counters.queueRefused;
+    reset(opening.flow, opening.acknowledgement, reason, now);
+}
+
+void AgentSteering::serveQueue(Instant now)
+{
+    if (m_queue.empty()) {
+        return;
+    }
+    for (const QueuedOpening &old : m_queue.takeOlderThan(now - m_settings.queueTime)) {
+        refuseQueued(old, "waited for too long", now);
+    }
+    std::vector<QueuedOpening> stays;
+    while (!m_queue.empty()) {
+        QueuedOpening next = *m_queue.pop(now);
+        const RouteEntry *route = m_directory.routeAt(next.flow.service);
+        std::string_view reason = route == nullptr ? "no route" : whyNotHere(*route, now);
+        if (reason.empty() && !isFull() && coldAdmits(now)) {
+            take(next.flow, next.trail, std::move(next.bytes), now);
+            continue;
+        }
+        if (reason.empty()) {
+            if (next.trail.hops >= m_settings.hopsMax || !betterPeer(now)) {
+                stays.push_back(std::move(next));
+                break;
+            }
+            reason = "upstream is full";
+        }
+        handOn(next.flow, std::move(next.bytes), next.trail, reason, next.acknowledgement, now);
+    }
+    for (QueuedOpening &opening : stays) {
+        m_queue.push(std::move(opening), now);
+    }
+}
+
+void AgentSteering::take(const FlowKey &key, const Trail &trail, PacketBytes bytes, Instant now)
+{
+    drop(key);
+    OwnedFlow &flow = m_flows[key];
+    m_sweep.push_back(key);
     flow.seen = now;
     flow.offeredAt = now;
-    flow.trail = segment.trail;
+    flow.trail = trail;
     flow.opening = bytes;
-    ++m_waiting;
+    setWaiting(flow, true);
     ++m_counters.opened;
-    m_offered.push_back(segment.flow);
-    note("take", "room here", segment.flow, m_settings.upstream, now);
-    deliver(segment.flow, std::move(bytes), now);
+    m_offered.push_back(key);
+    note("take", "room here", key, m_settings.upstream, now);
+    deliver(bytes, now);
 }
 
 void AgentSteering::handOn(const FlowKey &key, PacketBytes bytes, Trail trail,
@@ -188,7 +285,7 @@
     if (found == m_flows.end()) {
         if (mayHoldUnknown(now)) {
             // The upstream returns what it does not hold, and the search goes on.
-            deliver(segment.flow, std::move(bytes), now);
+            deliver(bytes, now);
         } else {
             passOn(segment, std::move(bytes), "not owned here", now);
         }
@@ -197,8 +294,7 @@
     OwnedFlow &flow = found->second;
     flow.seen = now;
     if (flow.stage == FlowStage::Moved) {
-        ++m_counters.passedOn;
-        m_hooks.toAgent(flow.movedTo, bytes);
+        follow(flow.movedTo, segment, std::move(bytes), now);
         return;
     }
     if (!flow.continues(segment)) {
@@ -207,8 +303,8 @@
         return;
     }
     flow.callerAcknowledgement = segment.acknowledgement;
-    if (isWaiting(flow)) {
-        --m_waiting;
+    if (flow.stage == FlowStage::Offered || flow.stage == FlowStage::Accepted) {
+        setWaiting(flow, false);
         flow.stage = FlowStage::Open;
         flow.opening.clear();
     }
@@ -224,7 +320,21 @@
     if (segment.resets) {
         drop(segment.flow);
     }
-    deliver(segment.flow, std::move(bytes), now);
+    deliver(bytes, now);
+}
+
+void AgentSteering::follow(const Endpoint &agent, const Segment &segment, PacketBytes bytes,
+                           Instant now)
+{
+    Trail trail = segment.trail;
+    if (trail.hops >= m_settings.noteHopsMax) {
+        passOn(segment, std::move(bytes), "note leads nowhere", now);
+        return;
+    }
+    ++trail.hops;
+    ++m_counters.passedOn;
+    m_codec.setTrail(bytes, segment.flow, trail);
+    m_hooks.toAgent(agent, bytes);
 }
 
 bool AgentSteering::mayHoldUnknown(Instant now) const
@@ -274,7 +384,7 @@
     reset(segment.flow, segment.acknowledgement, "no upstream holds the flow", now);
 }
 
-void AgentSteering::deliver(const FlowKey & /*key*/, PacketBytes bytes, Instant now)
+void AgentSteering::deliver(const PacketBytes &bytes, Instant now)
 {
     ++m_counters.delivered;
     if (m_unanswered++ == 0) {
@@ -295,6 +405,12 @@
 void AgentSteering::onUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now)
 {
     onUpstreamHeard(now);
+    handleUpstreamPacket(segment, std::move(bytes), now);
+    serveQueue(now);
+}
+
+void AgentSteering::handleUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now)
+{
     if (segment.returned) {
         onReturned(segment, std::move(bytes), now);
         return;
@@ -312,6 +428,8 @@
         flow.upstreamSequence = segment.sequence;
         if (flow.stage == FlowStage::Offered) {
             flow.stage = FlowStage::Accepted;
+            flow.acceptedAt = now;
+            m_accepted.push_back(segment.flow);
         }
     }
     if (segment.dataBytes > 0) {
@@ -319,9 +437,7 @@
     }
     if (segment.finishes || segment.resets) {
         setBusy(flow, false, now);
-        if (isWaiting(flow)) {
-            --m_waiting;
-        }
+        setWaiting(flow, false);
         flow.stage = FlowStage::Ended;
     }
     m_hooks.toCaller(segment.flow.caller, bytes);
@@ -342,6 +458,7 @@
         return;
     }
     drop(segment.flow);
+    m_refusedAt = now;
     handOn(segment.flow, std::move(bytes), segment.trail, "upstream would not take the flow",
            segment.acknowledgement, now);
     m_nextReport = now;
@@ -375,6 +492,14 @@
         m_serviceTimeMs == 0 ? sample : m_serviceTimeMs + SampleShare * (sample - m_serviceTimeMs);
 }
 
+void AgentSteering::setWaiting(OwnedFlow &flow, bool waiting)
+{
+    if (flow.waiting != waiting) {
+        flow.waiting = waiting;
+        waiting ? ++m_waiting : --m_waiting;
+    }
+}
+
 void AgentSteering::drop(const FlowKey &key)
 {
     const auto found = m_flows.find(key);
@@ -384,9 +509,7 @@
     if (found->second.busy) {
         --m_busy;
     }
-    if (isWaiting(found->second)) {
-        --m_waiting;
-    }
+    setWaiting(found->second, false);
     m_flows.erase(found);
 }
 
@@ -400,7 +523,9 @@
     m_lastTick = now;
     checkIncarnation(now);
     checkOffers(now);
+    checkAccepted(now);
     checkCrash(now);
+    serveQueue(now);
     forgetOld(now);
     sendReports(now, false);
 }
@@ -444,6 +569,22 @@
     }
 }
 
+void AgentSteering::checkAccepted(Instant now)
+{
+    while (!m_accepted.empty()) {
+        const auto found = m_flows.find(m_accepted.front());
+        const bool waits = found != m_flows.end() && found->second.waiting;
+        if (waits && now - found->second.acceptedAt < m_settings.callerAnswer) {
+            return;
+        }
+        m_accepted.pop_front();
+        if (waits) {
+            // The caller is gone or late: its flow holds no slot.
+            setWaiting(found->second, false);
+        }
+    }
+}
+
 void AgentSteering::checkCrash(Instant now)
 {
     const bool crashed = m_silent && m_unanswered >= m_settings.crashPackets
@@ -474,7 +615,15 @@
     const bool restarted = m_upstreamStart.has_value();
     m_upstreamStart = self->entry.startedAt;
     if (restarted) {
+        // The upstream starts with nothing: flows of its former life hold no slot of this one.
         note("upstream restarted", "its entry names a new life", {}, m_settings.upstream, now);
+        for (auto &[key, flow] : m_flows) {
+            setWaiting(flow, false);
+            if (flow.busy) {
+                flow.busy = false;
+                --m_busy;
+            }
+        }
     }
 }
 
@@ -487,8 +636,13 @@
         if (found == m_flows.end()) {
             continue;
         }
-        const bool ended = found->second.stage == FlowStage::Ended;
-        if (now - found->second.seen > (ended ? m_settings.endedLinger : m_settings.idle)) {
+        OwnedFlow &flow = found->second;
+        const bool ended = flow.stage == FlowStage::Ended;
+        if (flow.busy && now - flow.seen > m_settings.busyTimeout) {
+            flow.busy = false;
+            --m_busy;
+        }
+        if (now - flow.seen > (ended ? m_settings.endedLinger : m_settings.idle)) {
             drop(key);
         } else {
             m_sweep.push_back(key);
@@ -515,6 +669,11 @@
     report.upstream = m_settings.upstream;
     report.running = static_cast<std::uint32_t>(own.running);
     report.queued = static_cast<std::uint32_t>(own.queued);
+    if (isSuspect(now)) {
+        // Asks for a new flow as a probe.
+        report.running = 0;
+        report.queued = 0;
+    }
     report.limit = own.limit;
     report.serviceTimeMs = static_cast<std::uint32_t>(own.serviceTimeMs);
     // An upstream whose entry is missing for good has left.
@@ -575,16 +734,21 @@
 
 std::size_t AgentSteering::openCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(),
-                                                  [](const auto &f) {
-                                                      return isOpen(f.second.stage);
-                                                  }));
+    return m_queue.size()
+        + static_cast<std::size_t>(
+               std::count_if(m_flows.begin(), m_flows.end(),
+                             [](const auto &f) { return isOpen(f.second.stage); }));
 }
 
-LoadEstimate AgentSteering::load(Instant /*now*/) const
+LoadEstimate AgentSteering::load(Instant now) const
 {
-    return {static_cast<double>(m_busy), static_cast<double>(m_waiting),
-            static_cast<double>(slots()), m_serviceTimeMs};
+    LoadEstimate own {static_cast<double>(m_busy),
+                      static_cast<double>(m_waiting + m_queue.size()),
+                      static_cast<double>(slots()), m_serviceTimeMs};
+    if (now - m_refusedAt < m_settings.refusing) {
+        own.running = std::max(own.running, own.limit);
+    }
+    return own;
 }
 
 std::uint32_t AgentSteering::slots() const
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -70,8 +70,9 @@
     flow.seen = now;
     if (isNew) {
         m_sweep.push_back(segment.flow);
-    } else if (flow.confirmed || now - flow.offeredAt < m_settings.offerTimeout) {
-        // A copy of the opening packet that crossed the answer.
+    } else if (flow.confirmed || now - flow.offeredAt < m_settings.offerTimeout
+               || hasArrived(flow)) {
+        // A copy of the opening packet that crossed the answer, or of a flow that waits there.
         ++m_counters.forwarded;
         m_hooks.forward(flow.agent, bytes);
         return;
@@ -92,14 +93,19 @@
 
 void BalancerSteering::hold(const Segment &segment, PacketBytes bytes, Instant now)
 {
-    const bool isNew = m_heldSince.try_emplace(segment.flow, now).second;
-    if (!isNew || m_held.size() >= m_settings.heldMax) {
-        // A copy adds nothing, and what does not fit is left to the caller's copies.
+    const auto known = m_held.find(segment.flow);
+    if (known != m_held.end()) {
+        // The newest copy tells the age of the flow best.
+        known->second.segment = segment;
+        known->second.bytes = std::move(bytes);
+        return;
+    }
+    if (m_held.size() >= m_settings.heldMax) {
         ++m_counters.silent;
         return;
     }
     ++m_counters.held;
-    m_held.push_back({segment, std::move(bytes), now});
+    m_held.emplace(segment.flow, Held {segment, std::move(bytes), now});
 }
 
 void BalancerSteering::placeHeld(Instant now)
@@ -107,26 +113,20 @@
     if (m_held.empty() || !m_directory.hasRoutes() || !m_hooks.mayAct(now)) {
         return;
     }
-    std::deque<Held> waiting;
+    std::unordered_map<FlowKey, Held> waiting;
     waiting.swap(m_held);
-    m_heldSince.clear();
-    for (Held &held : waiting) {
+    for (auto &[key, held] : waiting) {
         if (now - held.since > m_settings.heldMaxAge) {
             continue;
         }
-        const RouteEntry *route = m_directory.routeAt(held.segment.flow.service);
+        const RouteEntry *route = m_directory.routeAt(key.service);
         if (route == nullptr) {
             refuse(held.segment, "no route", now);
-            continue;
-        }
-        const auto best = choose(held.segment.flow, *route, {}, now);
-        if (best && m_board.estimate(*best, now).use() <= m_settings.heldUse) {
+        } else if (m_directory.table(Directory::serviceFor(*route, key)) != nullptr
+                   || m_directory.isSettled(now)) {
             open(held.segment, std::move(held.bytes), now);
-        } else if (best || !m_directory.isSettled(now)) {
-            m_heldSince.emplace(held.segment.flow, held.since);
-            m_held.push_back(std::move(held));
         } else {
-            refuse(held.segment, "no upstream takes flows", now);
+            m_held.emplace(key, std::move(held));
         }
     }
 }
@@ -240,6 +240,12 @@
     }
 }
 
+bool BalancerSteering::hasArrived(const Placed &flow) const
+{
+    // An agent that has reported since the offer lives: the flow waits for a slot there.
+    return m_board.heardAt(flow.agent) > flow.offeredAt;
+}
+
 bool BalancerSteering::isDoubted(const Endpoint &agent, Instant now) const
 {
     const auto found = m_doubtedUntil.find(agent);
@@ -278,7 +284,7 @@
             break;
         }
         m_offered.pop_front();
-        if (!waits) {
+        if (!waits || hasArrived(found->second)) {
             continue;
         }
         Placed &flow = found->second;
--- a/src/steering/entries.cpp
+++ b/src/steering/entries.cpp
@@ -28,7 +28,10 @@
         for (const WeightedService &service : route.services) {
             services.push_back({{"name", service.name.str()}, {"weight", service.weight.value()}});
         }
-        routes.push_back({{"address", route.address.str()}, {"services", std::move(services)}});
+        routes.push_back({{"address", route.address.str()},
+                          {"services", std::move(services)},
+                          {"target_ms", route.target.count()},
+                          {"priority", route.priority}});
     }
     json services = json::array();
     for (const ServicePolicy &service : document.services) {
@@ -67,6 +70,8 @@
                 route.services.push_back({ServiceName(service.at("name").get<std::string>()),
                                           Weight(service.at("weight").get<std::uint32_t>())});
             }
+            route.target = Millis(line.at("target_ms").get<std::int64_t>());
+            route.priority = line.at("priority").get<std::uint32_t>();
             document.routes.push_back(std::move(route));
         }
         for (const json &service : whole.at("services")) {
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -97,6 +97,7 @@
     document.version = 1;
     RouteEntry route;
     route.address = RouteAddress;
+    route.target = Millis(250);
     for (const auto &[name, weight] : services) {
         route.services.push_back({ServiceName(name), Weight(weight)});
         document.services.push_back({ServiceName(name), coldPerSecond});
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -79,6 +79,7 @@
     /// @{
     std::size_t openFlow(std::size_t balancer, bool keepOpen = false);
     void request(std::size_t flow);
+    void resendOpening(std::size_t flow) { sendOpening(flow, 0); }
     void restartAgent(std::size_t upstream);
     void restartBalancer(std::size_t balancer, bool knowsRoutes = true);
     void runFor(Millis time);
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -421,3 +421,76 @@
     EXPECT_EQ(fleet.upstream(0).openings.size(), before);
     EXPECT_EQ(answeredOf(fleet, 50), 50U);
 }
+
+TEST(SteeringFlows, PacketsDoNotCircleBetweenAgentsThatHandedAFlowToEachOther)
+{
+    Small fleet(0, 2);
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    // Each agent has handed the flow to the other, and no upstream holds it.
+    fleet.upstream(0).flows.clear();
+    fleet.upstream(1).flows.clear();
+    fleet.upstream(0).full = true;
+    fleet.upstream(1).full = true;
+    const FlowKey key = fleet.flow(flow).key;
+    fleet.flow(flow).open = false;
+    fleet.resendOpening(flow);
+    fleet.runFor(Millis(100));
+    fleet.flow(flow).open = true;
+    const std::uint64_t before =
+        fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
+    fleet.request(flow);
+    fleet.runFor(Millis(1000));
+    EXPECT_EQ(fleet.flow(flow).key, key);
+    EXPECT_LE(fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn - before,
+              20U);
+}
+
+// Overload
+
+TEST(SteeringOverload, FlowsThatCanBeInTimeComeBeforeThoseThatAreLate)
+{
+    Small fleet(0, 2);
+    fleet.upstream(0).work = Millis(40);
+    fleet.upstream(1).work = Millis(40);
+    // 200 a second fit; a backlog of 150 comes at once, then 150 a second for two seconds.
+    constexpr std::size_t Backlog = 150;
+    constexpr std::size_t Fresh = 300;
+    for (std::size_t i = 0; i < Backlog; ++i) {
+        fleet.openFlow(0);
+    }
+    fleet.runFor(Millis(300));
+    for (std::size_t i = 0; i < Fresh; ++i) {
+        fleet.openFlow(0);
+        fleet.runFor(Millis(7));
+    }
+    fleet.runFor(Millis(1500));
+    std::size_t inTime = 0;
+    for (std::size_t i = Backlog; i < Backlog + Fresh; ++i) {
+        const CallerFlow &flow = fleet.flow(i);
+        inTime += flow.answered && flow.answeredAt - flow.openedAt <= Millis(250) ? 1 : 0;
+    }
+    EXPECT_GE(inTime, Fresh * 9 / 10);
+    EXPECT_GE(answeredOf(fleet, Backlog), Backlog / 4);
+}
+
+TEST(SteeringOverload, CallersThatGaveUpHoldNoSlot)
+{
+    Small fleet(0, 1);
+    for (int i = 0; i < 40; ++i) {
+        const std::size_t flow = fleet.openFlow(0, true);
+        // Looks open to the fixture: the caller is gone and answers nothing.
+        fleet.flow(flow).open = true;
+    }
+    fleet.runFor(Millis(2000));
+    for (int i = 0; i < 40; ++i) {
+        fleet.openFlow(0);
+        fleet.runFor(Millis(10));
+    }
+    fleet.runFor(Millis(500));
+    std::size_t answered = 0;
+    for (std::size_t i = 40; i < 80; ++i) {
+        answered += fleet.flow(i).answered ? 1 : 0;
+    }
+    EXPECT_EQ(answered, 40U);
+}
