Tell how long an opening packet was kept

Ruled out: placing held flows only while agents report room (slower to fill the upstreams). Change: the time travels with the packet, in the byte that a search uses for later packets.

--- a/include/bergamotglade/detail/admission/opening_queue.hpp
+++ b/include/bergamotglade/detail/admission/opening_queue.hpp
@@ -16,6 +16,7 @@
     PacketBytes bytes;
     Trail trail;
     std::uint32_t acknowledgement = 0;
+    Instant queuedAt;
     Instant openedAt; ///< when the caller sent the first copy
     Instant inTimeUntil; ///< an upstream that gets it by then answers within the objective
     std::uint32_t priority = 0; ///< 0 is the highest
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -111,6 +111,7 @@
         Segment segment;
         PacketBytes bytes;
         Instant since;
+        Instant newestAt; ///< when the newest copy came
     };
     std::unordered_map<FlowKey, Held> m_held;
     std::deque<FlowKey> m_sweep; ///< order in which flows are looked at for expiry
--- a/include/bergamotglade/detail/steering/segment.hpp
+++ b/include/bergamotglade/detail/steering/segment.hpp
@@ -20,6 +20,8 @@
     std::uint8_t position = 0;
     /// Some holder could not be asked: the end of the search proves nothing.
     bool incomplete = false;
+    /// Of an opening packet, which is not searched for: how long our processes have kept it.
+    Millis kept {};
 
     friend bool operator==(const Trail &, const Trail &) = default;
 };
@@ -36,7 +38,7 @@
     std::uint32_t sequence = 0;
     std::uint32_t acknowledgement = 0;
     std::uint32_t dataBytes = 0;
-    /// Of an opening packet: how long ago its sender sent the first copy.
+    /// Of an opening packet: how long ago its sender sent the first copy, as far as known.
     Millis openedAgo {};
     Trail trail;
 };
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -168,6 +168,7 @@
     opening.bytes = std::move(bytes);
     opening.trail = segment.trail;
     opening.acknowledgement = segment.acknowledgement;
+    opening.queuedAt = now;
     opening.openedAt = now - segment.openedAgo;
     opening.inTimeUntil = opening.openedAt + route.target - usual;
     opening.priority = route.priority;
@@ -212,6 +213,7 @@
             }
             reason = "upstream is full";
         }
+        next.trail.kept += now - next.queuedAt;
         handOn(next.flow, std::move(next.bytes), next.trail, reason, next.acknowledgement, now);
     }
     for (QueuedOpening &opening : stays) {
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -98,6 +98,7 @@
         // The newest copy tells the age of the flow best.
         known->second.segment = segment;
         known->second.bytes = std::move(bytes);
+        known->second.newestAt = now;
         return;
     }
     if (m_held.size() >= m_settings.heldMax) {
@@ -105,7 +106,7 @@
         return;
     }
     ++m_counters.held;
-    m_held.emplace(segment.flow, Held {segment, std::move(bytes), now});
+    m_held.emplace(segment.flow, Held {segment, std::move(bytes), now, now});
 }
 
 void BalancerSteering::placeHeld(Instant now)
@@ -124,6 +125,9 @@
             refuse(held.segment, "no route", now);
         } else if (m_directory.table(Directory::serviceFor(*route, key)) != nullptr
                    || m_directory.isSettled(now)) {
+            Trail trail;
+            trail.kept = now - held.newestAt;
+            m_codec.setTrail(held.bytes, key, trail);
             open(held.segment, std::move(held.bytes), now);
         } else {
             m_held.emplace(key, std::move(held));
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -123,8 +123,15 @@
 {
     const PacketCodec codec = platform::packetCodec();
     const FlowKey flow {{7, port}, {3, 4}};
-    const Trail trail {static_cast<std::uint8_t>(hops & 0x7fU), position, incomplete};
     const auto plain = static_cast<std::uint8_t>(flags & ~Bounced);
+    Trail trail;
+    trail.hops = static_cast<std::uint8_t>(hops & 0x7fU);
+    trail.incomplete = incomplete;
+    if ((plain & Syn) != 0) {
+        trail.kept = Millis(10) * position;
+    } else {
+        trail.position = position;
+    }
     const PacketBytes before = makePacket(flow, true, plain, 9, 10, 50);
     PacketBytes after = before;
     codec.setTrail(after, flow, trail);
