--- a/include/bergamotglade/detail/daemon/platform_adapter.hpp
+++ b/include/bergamotglade/detail/daemon/platform_adapter.hpp
@@ -10,8 +10,8 @@
 
 /// Reads sections newer than a revision, or all of them at revision zero; a watch waits for a
 /// change. The callback is called once.
-using ConfigurationSource = std::function<void(Revision since, bool watch,
-                                               std::function<void(Result<ChangeBatch>)> done)>;
+using ConfigurationSource =
+    std::function<void(Revision since, bool watch, std::function<void(Result<ChangeBatch>)> done)>;
 
 /// Where and how an adapter reads the configuration.
 struct SourceSettings
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -57,6 +57,8 @@
     /// Oldest flow that may exist: an agent that runs for longer knows all of its upstream's.
     Millis flowMax {60'000};
     Millis idle {15'000}; ///< a flow without packets is forgotten after this
+    /// A stop waits for flows with a packet within this time: one retransmission of either end.
+    Millis stopQuiet {1700};
     Millis endedLinger {2000}; ///< an ended flow is kept for late packets
     Millis reportInterval {150}; ///< between two load reports to the same process
     Millis reportMemory {2000}; ///< processes that sent a new flow within this get reports
@@ -117,7 +119,7 @@
     void stop(Instant now);
 
     /// @brief Flows that a stop would cut.
-    [[nodiscard]] std::size_t openCount() const;
+    [[nodiscard]] std::size_t openCount(Instant now) const;
     [[nodiscard]] std::size_t flowCount() const noexcept { return m_flows.size(); }
     [[nodiscard]] LoadEstimate load(Instant now) const;
     [[nodiscard]] bool isUpstreamSilent() const noexcept { return m_silent; }
--- a/src/admission/opening_queue.cpp
+++ b/src/admission/opening_queue.cpp
@@ -27,9 +27,9 @@
     if (m_entries.size() <= m_capacity) {
         return std::nullopt;
     }
-    const auto last = std::max_element(
-        m_entries.begin(), m_entries.end(),
-        [&](const auto &a, const auto &b) { return comesBefore(a, b, now); });
+    const auto last =
+        std::max_element(m_entries.begin(), m_entries.end(),
+                         [&](const auto &a, const auto &b) { return comesBefore(a, b, now); });
     QueuedOpening displaced = std::move(*last);
     m_entries.erase(last);
     return displaced;
@@ -37,9 +37,9 @@
 
 std::optional<QueuedOpening> OpeningQueue::pop(Instant now)
 {
-    const auto first = std::min_element(
-        m_entries.begin(), m_entries.end(),
-        [&](const auto &a, const auto &b) { return comesBefore(a, b, now); });
+    const auto first =
+        std::min_element(m_entries.begin(), m_entries.end(),
+                         [&](const auto &a, const auto &b) { return comesBefore(a, b, now); });
     if (first == m_entries.end()) {
         return std::nullopt;
     }
--- a/src/config/store.cpp
+++ b/src/config/store.cpp
@@ -167,8 +167,7 @@
 bool ConfigStore::hasRoot() const
 {
     const auto root = m_records.find(RootName);
-    return root != m_records.end() && root->second.accepted != Revision()
-        && !root->second.removed;
+    return root != m_records.end() && root->second.accepted != Revision() && !root->second.removed;
 }
 
 bool ConfigStore::isComplete() const
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -38,7 +38,7 @@
             m_steering->stop(now);
         };
         hooks.isDone = [this] {
-            return m_steering->openCount() == 0;
+            return m_steering->openCount(Clock::now()) == 0;
         };
         hooks.onReload = [this] {
             m_process.reload(loadAgentSettings(m_path));
@@ -94,10 +94,11 @@
         m_steering.emplace(std::move(steering), m_runtime->directory(), m_adapter.packets,
                            steeringHooks(), systemRandom(), Clock::now());
         addMetrics();
-        logEvent("started", {{"packets", m_settings.steering->packets.str()},
-                             {"upstream", m_settings.upstreamAddress.str()},
-                             {"service", m_settings.agent.service.str()},
-                             {"control", m_runtime->plane().local().str()}});
+        logEvent("started",
+                 {{"packets", m_settings.steering->packets.str()},
+                  {"upstream", m_settings.upstreamAddress.str()},
+                  {"service", m_settings.agent.service.str()},
+                  {"control", m_runtime->plane().local().str()}});
         return boost::outcome_v2::success();
     }
 
@@ -139,9 +140,9 @@
 
     void stop()
     {
-        logEvent("stopped",
-                 {{"flows_open",
-                   static_cast<std::uint64_t>(m_steering ? m_steering->openCount() : 0)}});
+        logEvent(
+            "stopped",
+            {{"flows_open", static_cast<std::uint64_t>(m_steering ? m_steering->openCount(Clock::now()) : 0)}});
         m_steering.reset();
         m_fromUpstream.reset();
         m_runtime.reset();
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -93,8 +93,9 @@
         m_steering.emplace(BalancerSteeringSettings {}, m_runtime->directory(), m_adapter.packets,
                            std::move(out), systemRandom());
         addMetrics();
-        logEvent("started", {{"packets", m_settings.steering->packets.str()},
-                             {"control", m_runtime->plane().local().str()}});
+        logEvent("started",
+                 {{"packets", m_settings.steering->packets.str()},
+                  {"control", m_runtime->plane().local().str()}});
         return boost::outcome_v2::success();
     }
 
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -25,8 +25,7 @@
 } // namespace
 
 SteeringRuntime::SteeringRuntime(const CommonSettings &common,
-                                 const SteeringDaemonSettings &steering,
-                                 SteeringRuntimeHooks hooks)
+                                 const SteeringDaemonSettings &steering, SteeringRuntimeHooks hooks)
     : m_common(common)
     , m_steering(steering)
     , m_hooks(std::move(hooks))
@@ -50,27 +49,25 @@
 {
     m_storeClient = std::make_unique<HttpClient>(io);
     m_source = adapter.openSource(
-        *m_storeClient,
-        {m_common.platform, m_steering.packets.port, m_steering.watchTime});
-    auto packets = UdpSocket::open(io, m_steering.packets,
-                                   [this](const Endpoint &from, std::string_view bytes) {
-                                       m_hooks.onPacket(from, bytes);
-                                   });
+        *m_storeClient, {m_common.platform, m_steering.packets.port, m_steering.watchTime});
+    auto packets = UdpSocket::open(
+        io, m_steering.packets,
+        [this](const Endpoint &from, std::string_view bytes) { m_hooks.onPacket(from, bytes); });
     if (!packets) {
         return packets.error();
     }
     m_packets = std::move(packets.value());
     if (m_steering.ready != Endpoint()) {
-        auto ready = HttpServer::listen(
-            io, m_steering.ready,
-            [this](const HttpRequest &request, const HttpResponder &respond,
-                   const std::function<bool()> &) {
-                if (request.target == ReadyPath) {
-                    serveReady(respond);
-                } else {
-                    respond({StatusNotFound, "text/plain", "unknown\n", {}});
-                }
-            });
+        auto ready =
+            HttpServer::listen(io, m_steering.ready,
+                               [this](const HttpRequest &request, const HttpResponder &respond,
+                                      const std::function<bool()> &) {
+                                   if (request.target == ReadyPath) {
+                                       serveReady(respond);
+                                   } else {
+                                       respond({StatusNotFound, "text/plain", "unknown\n", {}});
+                                   }
+                               });
         if (!ready) {
             return ready.error();
         }
@@ -135,12 +132,12 @@
     const bool serves = !report.draining && !report.silentUpstream;
     if (serves && report.upstream != Endpoint()) {
         const Announcement announcement {report.service, report.domain, report.sender,
-                                         report.upstream,
-                                         static_cast<std::uint32_t>(report.limit)};
+                                         report.upstream, static_cast<std::uint32_t>(report.limit)};
         if (m_directory.announce(announcement, Clock::now())) {
-            logEvent("upstream announced", {{"agent", report.sender.str()},
-                                            {"upstream", report.upstream.str()},
-                                            {"service", report.service.str()}});
+            logEvent("upstream announced",
+                     {{"agent", report.sender.str()},
+                      {"upstream", report.upstream.str()},
+                      {"service", report.service.str()}});
         }
     }
     m_hooks.onLoadReport(report);
@@ -186,7 +183,9 @@
 void SteeringRuntime::serveReady(const HttpResponder &respond)
 {
     const bool ready = m_hooks.isReady();
-    respond({ready ? StatusOk : StatusUnavailable, "text/plain", ready ? "ready\n" : "not ready\n",
+    respond({ready ? StatusOk : StatusUnavailable,
+             "text/plain",
+             ready ? "ready\n" : "not ready\n",
              {}});
 }
 
@@ -224,8 +223,8 @@
     const Instant now = Clock::now();
     if (now - m_badLoggedAt >= BadPacketLogInterval) {
         m_badLoggedAt = now;
-        logError("packet dropped: " + describe(error) + ", "
-                 + std::to_string(m_badPackets) + " so far");
+        logError("packet dropped: " + describe(error) + ", " + std::to_string(m_badPackets)
+                 + " so far");
     }
 }
 
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -23,10 +23,11 @@
 class SteeringRuntime
 {
 public:
-    static Result<std::unique_ptr<SteeringRuntime>>
-    open(boost::asio::io_context &io, const CommonSettings &common,
-         const SteeringDaemonSettings &steering, const PlatformAdapter &adapter,
-         SteeringRuntimeHooks hooks);
+    static Result<std::unique_ptr<SteeringRuntime>> open(boost::asio::io_context &io,
+                                                         const CommonSettings &common,
+                                                         const SteeringDaemonSettings &steering,
+                                                         const PlatformAdapter &adapter,
+                                                         SteeringRuntimeHooks hooks);
 
     void onTick(Instant now);
 
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -164,8 +164,8 @@
     const bool atLeastOurs = m_store.hasRoot() || !m_settings.mechanisms.askPeers;
     m_platformAnswered = true;
     m_platformAt = now;
-    const bool wasAway = m_platformFailedAt != Instant()
-        && now - m_platformFailedAt <= m_settings.lapseWindow;
+    const bool wasAway =
+        m_platformFailedAt != Instant() && now - m_platformFailedAt <= m_settings.lapseWindow;
     take(wasAway ? withLapses(batch) : batch, now);
     // A first answer may be stale: it counts as confirmed only when there is no peer to ask.
     if (atLeastOurs && (m_confirmedOnce || alone)) {
@@ -398,8 +398,8 @@
 
 void Dissemination::introduce(const Endpoint &peer)
 {
-    const bool known = std::find(m_introduced.begin(), m_introduced.end(), peer)
-        != m_introduced.end();
+    const bool known =
+        std::find(m_introduced.begin(), m_introduced.end(), peer) != m_introduced.end();
     if (known || peer == m_settings.self) {
         return;
     }
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -69,8 +69,7 @@
     }
     const std::string_view reason = whyNotHere(*route, now);
     if (!reason.empty()) {
-        handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement,
-               now);
+        handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement, now);
         return;
     }
     const bool full = (isFull() || !m_queue.empty()) && !takesProbe(now);
@@ -182,8 +181,7 @@
     m_nextReport = now;
 }
 
-void AgentSteering::refuseQueued(const QueuedOpening &opening, std::string_view reason,
-                                 Instant now)
+void AgentSteering::refuseQueued(const QueuedOpening &opening, std::string_view reason, Instant now)
 {
     ++m_counters.queueRefused;
     reset(opening.flow, opening.acknowledgement, reason, now);
@@ -597,7 +595,8 @@
     m_crashed = true;
     std::vector<std::pair<FlowKey, std::uint32_t>> lost;
     for (const auto &[key, flow] : m_flows) {
-        if (flow.stage == FlowStage::Open && flow.seen <= m_unansweredSince + m_settings.crashTime) {
+        if (flow.stage == FlowStage::Open
+            && flow.seen <= m_unansweredSince + m_settings.crashTime) {
             lost.emplace_back(key, flow.callerAcknowledgement);
         }
     }
@@ -679,8 +678,8 @@
     report.limit = own.limit;
     report.serviceTimeMs = static_cast<std::uint32_t>(own.serviceTimeMs);
     // An upstream whose entry is missing for good has left.
-    const bool gone = m_directory.isSettled(now)
-        && m_directory.upstreamAt(m_settings.upstream) == nullptr;
+    const bool gone =
+        m_directory.isSettled(now) && m_directory.upstreamAt(m_settings.upstream) == nullptr;
     report.draining = m_stopping || gone;
     report.silentUpstream = m_silent;
     for (const Endpoint &process : reportTargets(now)) {
@@ -734,18 +733,18 @@
 
 // State.
 
-std::size_t AgentSteering::openCount() const
+std::size_t AgentSteering::openCount(Instant now) const
 {
+    const auto inUse = [&](const auto &entry) {
+        return isOpen(entry.second.stage) && now - entry.second.seen <= m_settings.stopQuiet;
+    };
     return m_queue.size()
-        + static_cast<std::size_t>(
-               std::count_if(m_flows.begin(), m_flows.end(),
-                             [](const auto &f) { return isOpen(f.second.stage); }));
+        + static_cast<std::size_t>(std::count_if(m_flows.begin(), m_flows.end(), inUse));
 }
 
 LoadEstimate AgentSteering::load(Instant now) const
 {
-    LoadEstimate own {static_cast<double>(m_busy),
-                      static_cast<double>(m_waiting + m_queue.size()),
+    LoadEstimate own {static_cast<double>(m_busy), static_cast<double>(m_waiting + m_queue.size()),
                       static_cast<double>(slots()), m_serviceTimeMs};
     if (now - m_refusedAt < m_settings.refusing) {
         own.running = std::max(own.running, own.limit);
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -46,8 +46,8 @@
     // The last good routes stay in force: without any, all traffic would stop.
     auto document = decodeRoutes(change.text);
     if (change.removed || !document) {
-        const Error error = document ? Error {ErrorCode::BadDocument, "the routes were removed"}
-                                     : document.error();
+        const Error error =
+            document ? Error {ErrorCode::BadDocument, "the routes were removed"} : document.error();
         return {badSection(change, error)};
     }
     std::unordered_map<Endpoint, RouteEntry> routes;
@@ -106,9 +106,8 @@
     if (holder != m_byAddress.end() && holder->second != id) {
         erase(UpstreamId(holder->second));
     }
-    const std::optional<ServiceName> before = known == m_upstreams.end()
-        ? std::nullopt
-        : std::optional(known->second.entry.service);
+    const std::optional<ServiceName> before =
+        known == m_upstreams.end() ? std::nullopt : std::optional(known->second.entry.service);
     if (before) {
         m_byAddress.erase(m_upstreams[id].entry.address);
         m_byAgent.erase(m_upstreams[id].entry.agent);
@@ -290,6 +289,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<Endpoint> agents;
+    agents.reserve(ranked.size());
     for (const auto &[score, agent] : ranked) {
         agents.push_back(agent);
     }
--- a/src/steering/entries.cpp
+++ b/src/steering/entries.cpp
@@ -46,14 +46,10 @@
 
 std::string encode(const UpstreamEntry &entry)
 {
-    return json {{"id", entry.id.str()},
-                 {"service", entry.service.str()},
-                 {"domain", entry.domain.str()},
-                 {"agent", entry.agent.str()},
-                 {"address", entry.address.str()},
-                 {"slots", entry.slots},
-                 {"leaving", entry.leaving},
-                 {"cold_ms", entry.coldFor.count()},
+    return json {{"id", entry.id.str()},           {"service", entry.service.str()},
+                 {"domain", entry.domain.str()},   {"agent", entry.agent.str()},
+                 {"address", entry.address.str()}, {"slots", entry.slots},
+                 {"leaving", entry.leaving},       {"cold_ms", entry.coldFor.count()},
                  {"started_at", entry.startedAt}}
         .dump();
 }
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -28,8 +28,7 @@
 const Endpoint SteeringFleet::RouteAddress {0xc6120001, 443};
 
 PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
-                       std::uint32_t sequence, std::uint32_t acknowledgement,
-                       std::size_t dataBytes)
+                       std::uint32_t sequence, std::uint32_t acknowledgement, std::size_t dataBytes)
 {
     PacketBytes bytes(32 + dataBytes, 'd');
     std::fill(bytes.begin(), bytes.begin() + 32, '\0');
@@ -90,8 +89,9 @@
     after(Tick, [this] { tick(); });
 }
 
-SectionChange SteeringFleet::routesTo(
-    const std::vector<std::pair<std::string, std::uint32_t>> &services, double coldPerSecond)
+SectionChange
+SteeringFleet::routesTo(const std::vector<std::pair<std::string, std::uint32_t>> &services,
+                        double coldPerSecond)
 {
     RouteDocument document;
     document.version = 1;
@@ -201,9 +201,9 @@
     hooks.mayAct = [this](Instant) {
         return mayAct;
     };
-    process.steering = std::make_unique<BalancerSteering>(
-        balancerSettings, *process.directory, m_codec, std::move(hooks),
-        seededRandom(m_seed + index));
+    process.steering =
+        std::make_unique<BalancerSteering>(balancerSettings, *process.directory, m_codec,
+                                           std::move(hooks), seededRandom(m_seed + index));
 }
 
 void SteeringFleet::restartAgent(std::size_t index)
@@ -259,10 +259,9 @@
     hooks.mayAct = [this](Instant) {
         return mayAct;
     };
-    process.steering =
-        std::make_unique<AgentSteering>(std::move(settings), *process.directory, m_codec,
-                                        std::move(hooks), seededRandom(m_seed + AgentSeeds + index),
-                                        m_now);
+    process.steering = std::make_unique<AgentSteering>(
+        std::move(settings), *process.directory, m_codec, std::move(hooks),
+        seededRandom(m_seed + AgentSeeds + index), m_now);
 }
 
 std::size_t SteeringFleet::indexOf(const Endpoint &agent) const
@@ -306,8 +305,8 @@
         upstream.openings.push_back(m_now);
         upstream.opened.push_back(key);
         upstream.flows.insert(key);
-        fromUpstream(index, makePacket(key, false, Syn | Ack, upstream.startSequence,
-                                       segment.sequence + 1));
+        fromUpstream(
+            index, makePacket(key, false, Syn | Ack, upstream.startSequence, segment.sequence + 1));
         return;
     }
     if (segment.acknowledgement - upstream.startSequence > OwnedFlow::FirstWindow) {
@@ -336,7 +335,8 @@
     FakeUpstream &upstream = m_upstreams[index];
     --upstream.running;
     if (!upstream.dead) {
-        fromUpstream(index, makePacket(key, false, Ack, upstream.startSequence + 1, 0, AnswerBytes));
+        fromUpstream(index,
+                     makePacket(key, false, Ack, upstream.startSequence + 1, 0, AnswerBytes));
     }
     startNext(index);
 }
@@ -418,8 +418,7 @@
     constexpr std::size_t RequestBytes = 100;
     CallerFlow &flow = m_callers[index];
     flow.answered = false;
-    fromCaller(index,
-               makePacket(flow.key, true, Ack, 2, flow.upstreamSequence + 1, RequestBytes));
+    fromCaller(index, makePacket(flow.key, true, Ack, 2, flow.upstreamSequence + 1, RequestBytes));
 }
 
 std::size_t SteeringFleet::upstreamOf(std::size_t index) const
@@ -435,8 +434,8 @@
 
 std::size_t SteeringFleet::resets() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_callers.begin(), m_callers.end(), [](const auto &f) { return f.wasReset; }));
+    return static_cast<std::size_t>(std::count_if(m_callers.begin(), m_callers.end(),
+                                                  [](const auto &f) { return f.wasReset; }));
 }
 
 } // namespace bergamotglade::tests
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -62,8 +62,9 @@
 
 TEST(PacketCodec, ReadsTheDocumentedExample)
 {
-    const auto segment =
-        fromHex("a1b2c3d500000000000080000" "1bb9c4164400007c6120001" "1122334400000000");
+    const auto segment = fromHex("a1b2c3d500000000000080000"
+                                 "1bb9c4164400007c6120001"
+                                 "1122334400000000");
     ASSERT_TRUE(segment);
     EXPECT_EQ(segment.value().flow.caller.str(), "100.64.0.7:40001");
     EXPECT_EQ(segment.value().flow.service.str(), "198.18.0.1:443");
@@ -77,8 +78,7 @@
     const FlowKey flow {Endpoint::parse("100.64.0.7:40001").value(),
                         Endpoint::parse("198.18.0.1:443").value()};
     const PacketBytes reset = platform::packetCodec().makeReset(flow, 0);
-    const std::string expected =
-        "0000000000000000000040009c4101bbc6120001644000070000000000000000";
+    const std::string expected = "0000000000000000000040009c4101bbc6120001644000070000000000000000";
     std::string hex;
     for (const char c : reset) {
         constexpr std::string_view Digits = "0123456789abcdef";
@@ -185,7 +185,11 @@
 TEST(StorePage, ADamagedItemNamesNothingAndTheOthersHold)
 {
     const std::vector<std::string> damaged = {
-        "", "[]", "{", "\xff\xfe", R"({"service":"s1"})",
+        "",
+        "[]",
+        "{",
+        "\xff\xfe",
+        R"({"service":"s1"})",
         R"({"service":1,"address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
         R"({"service":"s","address":"10.0.0.1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
         R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":-1,"state":"ready","cold_remaining_ms":0})",
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -494,3 +494,16 @@
     }
     EXPECT_EQ(answered, 40U);
 }
+
+TEST(SteeringStop, DoesNotWaitForFlowsThatNoEndUsesAnyMore)
+{
+    Small fleet;
+    for (int i = 0; i < 12; ++i) {
+        fleet.openFlow(0, true);
+    }
+    fleet.runFor(Millis(50));
+    fleet.agent(0).stop(fleet.now());
+    EXPECT_GT(fleet.agent(0).openCount(fleet.now()), 0U);
+    fleet.runFor(Millis(2000));
+    EXPECT_EQ(fleet.agent(0).openCount(fleet.now()), 0U);
+}
