Acknowledge queued flows, let owners name themselves, free slots of callers that left

Ruled out: slow upstreams only (the same load is served in time before and after). Change: the sender of a flow that waits or was handed on is told at once; an owner that packets reach by a detour tells the balancers; a place is held for four usual round trips. A queued flow that turns out to be open elsewhere is forgotten. Tests: SteeringOverload.FlowsThatWaitAreOfferedOnce, SteeringFlows.ThatWereSearchedGoStraightToTheirOwner...

--- a/include/bergamotglade/detail/admission/opening_queue.hpp
+++ b/include/bergamotglade/detail/admission/opening_queue.hpp
@@ -39,6 +39,8 @@
     std::optional<QueuedOpening> pop(Instant now);
     /// @brief Takes the flows that have waited since before `limit`.
     std::vector<QueuedOpening> takeOlderThan(Instant limit);
+    /// @brief Forgets a flow.
+    void erase(const FlowKey &flow);
     [[nodiscard]] bool contains(const FlowKey &flow) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
     [[nodiscard]] bool empty() const noexcept { return m_entries.empty(); }
--- a/include/bergamotglade/detail/net/datagram_codec.hpp
+++ b/include/bergamotglade/detail/net/datagram_codec.hpp
@@ -19,12 +19,13 @@
     std::string payload;
 };
 
-using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice>;
+using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated>;
 
 [[nodiscard]] std::string encode(const CallerFrame &frame);
 [[nodiscard]] std::string encode(const DataPacket &packet);
 [[nodiscard]] std::string encode(const LoadReport &report);
 [[nodiscard]] std::string encode(const Notice &notice);
+[[nodiscard]] std::string encode(const FlowLocated &located);
 
 /// @brief Reads any datagram.
 /// @param bytes as received
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -51,6 +51,13 @@
     bool silentUpstream = false;
 };
 
+/// The owner of a steered flow names itself after packets reached it by a detour.
+struct FlowLocated
+{
+    FlowKey flow;
+    Endpoint agent;
+};
+
 /// News about one process, spread by gossip. A higher counter wins.
 struct Rumor
 {
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -24,9 +24,11 @@
     Millis offerTimeout {40};
     /// A silent upstream is tried again with one new flow after this.
     Millis probeInterval {300};
-    /// A caller that has not answered the upstream after this has given up: round trips to callers
-    /// take a few milliseconds.
-    Millis callerAnswer {150};
+    /// A caller that has not answered the upstream within this many usual round trips, and at
+    /// least callerAnswerMin, at most callerAnswerMax, has given up and holds no slot.
+    double callerAnswerFactor = 4;
+    Millis callerAnswerMin {25};
+    Millis callerAnswerMax {150};
     /// A request without a packet of either end for this long is not running any more.
     Millis busyTimeout {3000};
     /// Packets unanswered for this long make an upstream suspect: it gets one new flow as a probe
@@ -62,7 +64,12 @@
     Millis endedLinger {2000}; ///< an ended flow is kept for late packets
     Millis reportInterval {150}; ///< between two load reports to the same process
     Millis reportMemory {2000}; ///< processes that sent a new flow within this get reports
-    std::size_t reportTargetsMax = 24;
+    std::size_t reportTargetsMax = 48;
+    /// A sender of a flow that waits or was handed on is told at once that it arrived, at most
+    /// this often.
+    Millis arrivalReport {20};
+    /// Balancers are told where a flow is at most this often.
+    Millis locationInterval {200};
     std::size_t flowsMax = 50'000;
     /// Slots of an upstream whose entry is not known yet.
     std::uint32_t slotsUnknown = 8;
@@ -93,6 +100,7 @@
     std::function<void(const Endpoint &agent, const PacketBytes &)> toAgent;
     std::function<void(const Endpoint &caller, const PacketBytes &)> toCaller;
     std::function<void(const Endpoint &process, const LoadReport &)> report;
+    std::function<void(const Endpoint &process, const FlowLocated &)> tellLocation;
     /// Every process that is known, for the announcements of the first seconds.
     std::function<std::vector<Endpoint>()> peers;
     std::function<bool(Instant)> mayAct;
@@ -126,13 +134,18 @@
     [[nodiscard]] const AgentSteeringCounters &counters() const noexcept { return m_counters; }
 
 private:
+    struct Sender
+    {
+        Instant seen;
+        Instant reported;
+    };
     struct FailedSearch
     {
         Instant first;
         Instant last;
     };
 
-    void onOpening(const Segment &segment, PacketBytes bytes, Instant now);
+    void onOpening(const Segment &segment, PacketBytes bytes, const Endpoint &from, Instant now);
     void onContinuation(const Segment &segment, PacketBytes bytes, Instant now);
     void handleUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onReturned(const Segment &segment, PacketBytes bytes, Instant now);
@@ -160,11 +173,15 @@
     void checkOffers(Instant now);
     void checkCrash(Instant now);
     void checkAccepted(Instant now);
+    [[nodiscard]] Millis callerAnswerTime() const;
     void setWaiting(OwnedFlow &flow, bool waiting);
     void checkIncarnation(Instant now);
     [[nodiscard]] std::vector<Endpoint> reportTargets(Instant now);
     void forgetOld(Instant now);
     void sendReports(Instant now, bool atOnce);
+    void reportTo(const Endpoint &sender, Instant now);
+    [[nodiscard]] LoadReport makeReport(Instant now) const;
+    void tellLocation(const FlowKey &key, OwnedFlow &flow, Instant now);
     void drop(const FlowKey &key);
     [[nodiscard]] bool mayHoldUnknown(Instant now) const;
     [[nodiscard]] std::uint32_t slots() const;
@@ -184,10 +201,11 @@
     std::deque<FlowKey> m_offered; ///< flows given to the upstream, oldest first
     std::deque<FlowKey> m_accepted; ///< flows that wait for the caller's answer, oldest first
     std::unordered_map<FlowKey, FailedSearch> m_failedSearches;
-    std::unordered_map<Endpoint, Instant> m_senders; ///< processes that sent new flows lately
+    std::unordered_map<Endpoint, Sender> m_senders; ///< processes that sent new flows lately
     std::uint32_t m_busy = 0;
     std::uint32_t m_waiting = 0; ///< flows given to the upstream that are not open yet
     double m_serviceTimeMs = 0;
+    double m_callerAnswerMs = 0; ///< smoothed time from the upstream's answer to the caller's
     bool m_stopping = false;
     bool m_silent = false; ///< the upstream leaves packets unanswered
     bool m_crashed = false;
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -63,6 +63,8 @@
 
     void onPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onLoadReport(const LoadReport &report, Instant now);
+    /// @brief The owner of a flow has named itself.
+    void onFlowLocated(const FlowLocated &located, Instant now);
     /// @brief Call at least every 20 ms.
     void onTick(Instant now);
 
@@ -77,6 +79,7 @@
         Instant seen;
         Instant offeredAt;
         bool confirmed = false; ///< the caller has answered the upstream
+        bool searching = false; ///< the owner is not known
         PacketBytes opening;
     };
 
--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -30,6 +30,7 @@
     std::optional<std::uint32_t> upstreamSequence;
     /// Last acknowledgement of the caller: resets must be close to it.
     std::uint32_t callerAcknowledgement = 0;
+    Instant locatedAt; ///< when balancers were told last where the flow is
     Endpoint movedTo;
     Trail trail;
     PacketBytes opening;
--- a/src/admission/opening_queue.cpp
+++ b/src/admission/opening_queue.cpp
@@ -58,6 +58,11 @@
     return taken;
 }
 
+void OpeningQueue::erase(const FlowKey &flow)
+{
+    std::erase_if(m_entries, [&](const auto &e) { return e.flow == flow; });
+}
+
 bool OpeningQueue::contains(const FlowKey &flow) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -118,6 +118,9 @@
         out.report = [this](const Endpoint &process, const LoadReport &report) {
             m_runtime->sendReport(process, report);
         };
+        out.tellLocation = [this](const Endpoint &process, const FlowLocated &located) {
+            m_runtime->sendLocation(process, located);
+        };
         out.peers = [this] {
             return m_runtime->plane().dissemination().peers();
         };
@@ -142,7 +145,8 @@
     {
         logEvent(
             "stopped",
-            {{"flows_open", static_cast<std::uint64_t>(m_steering ? m_steering->openCount(Clock::now()) : 0)}});
+            {{"flows_open",
+              static_cast<std::uint64_t>(m_steering ? m_steering->openCount(Clock::now()) : 0)}});
         m_steering.reset();
         m_fromUpstream.reset();
         m_runtime.reset();
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -66,6 +66,9 @@
         hooks.onLoadReport = [this](const LoadReport &report) {
             m_steering->onLoadReport(report, Clock::now());
         };
+        hooks.onFlowLocated = [this](const FlowLocated &located) {
+            m_steering->onFlowLocated(located, Clock::now());
+        };
         hooks.isReady = [this] {
             return !m_stopping && m_runtime->directory().hasRoutes()
                 && m_runtime->plane().dissemination().isReady(Clock::now());
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -116,6 +116,10 @@
         if (const auto *report = std::get_if<LoadReport>(&datagram)) {
             onLoadReport(*report);
         }
+        const auto *located = std::get_if<FlowLocated>(&datagram);
+        if (located != nullptr && m_hooks.onFlowLocated) {
+            m_hooks.onFlowLocated(*located);
+        }
     };
     hooks.onChange = [this] {
         onDirectoryChange();
@@ -204,6 +208,11 @@
     m_plane->sendControl(controlOf(process), encode(report));
 }
 
+void SteeringRuntime::sendLocation(const Endpoint &process, const FlowLocated &located)
+{
+    m_plane->sendControl(controlOf(process), encode(located));
+}
+
 SteeringLog SteeringRuntime::log() const
 {
     return [](const SteeringEvent &event) {
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -14,6 +14,8 @@
 {
     std::function<void(const Endpoint &from, std::string_view bytes)> onPacket;
     std::function<void(const LoadReport &)> onLoadReport;
+    /// Balancers only.
+    std::function<void(const FlowLocated &)> onFlowLocated;
     std::function<void(nlohmann::json &)> addStatus;
     /// Whether the process wants packets.
     std::function<bool()> isReady;
@@ -39,6 +41,7 @@
     /// @brief Sends a packet to a caller, who listens at the same port as this process.
     void sendToCaller(const Endpoint &caller, std::string_view bytes);
     void sendReport(const Endpoint &process, const LoadReport &report);
+    void sendLocation(const Endpoint &process, const FlowLocated &located);
     [[nodiscard]] SteeringLog log() const;
     void countBadPacket(const Error &error);
 
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -7,7 +7,14 @@
 namespace {
 
 /// First byte of a datagram.
-enum class Kind : std::uint8_t { CallerFrame = 1, DataPacket, LoadReport, Notice, Handover };
+enum class Kind : std::uint8_t {
+    CallerFrame = 1,
+    DataPacket,
+    LoadReport,
+    Notice,
+    Handover,
+    FlowLocated
+};
 
 constexpr std::size_t ListMax = 4096;
 constexpr std::size_t DepthMax = 8;
@@ -233,6 +240,14 @@
     return notice;
 }
 
+FlowLocated readFlowLocated(FieldReader &in)
+{
+    FlowLocated located;
+    located.flow = readFlow(in);
+    located.agent = in.endpoint();
+    return located;
+}
+
 HandoverEntry readEntry(FieldReader &in)
 {
     HandoverEntry entry;
@@ -369,6 +384,15 @@
     return out.take();
 }
 
+std::string encode(const FlowLocated &located)
+{
+    constexpr std::uint32_t Fields = 3;
+    FieldWriter out(Kind::FlowLocated, Fields);
+    writeFlow(out, located.flow);
+    out.endpoint(located.agent);
+    return out.take();
+}
+
 Result<Datagram> decodeDatagram(std::string_view bytes)
 {
     if (bytes.empty()) {
@@ -383,6 +407,8 @@
         return decodeAs(bytes, readLoadReport);
     case Kind::Notice:
         return decodeAs(bytes, readNotice);
+    case Kind::FlowLocated:
+        return decodeAs(bytes, readFlowLocated);
     case Kind::Handover:
         break;
     }
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -18,6 +18,12 @@
     return stage == FlowStage::Offered || stage == FlowStage::Accepted || stage == FlowStage::Open;
 }
 
+void smooth(double &valueMs, Millis sample)
+{
+    const auto ms = static_cast<double>(sample.count());
+    valueMs = valueMs == 0 ? ms : valueMs + SampleShare * (ms - valueMs);
+}
+
 } // namespace
 
 AgentSteering::AgentSteering(AgentSteeringSettings settings, Directory &directory,
@@ -39,17 +45,19 @@
                                    Instant now)
 {
     if (segment.opens) {
-        const bool isNew = m_senders.insert_or_assign(from, now).second;
+        const auto [sender, isNew] = m_senders.try_emplace(from);
+        sender->second.seen = now;
         if (isNew) {
             m_nextReport = now;
         }
-        onOpening(segment, std::move(bytes), now);
+        onOpening(segment, std::move(bytes), from, now);
     } else {
         onContinuation(segment, std::move(bytes), now);
     }
 }
 
-void AgentSteering::onOpening(const Segment &segment, PacketBytes bytes, Instant now)
+void AgentSteering::onOpening(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                              Instant now)
 {
     const auto known = m_flows.find(segment.flow);
     if (known != m_flows.end() && isOpen(known->second.stage) && !m_silent) {
@@ -65,6 +73,7 @@
         return;
     }
     if (m_queue.contains(segment.flow)) {
+        reportTo(from, now);
         return;
     }
     const std::string_view reason = whyNotHere(*route, now);
@@ -77,6 +86,9 @@
         take(segment.flow, segment.trail, std::move(bytes), now);
         return;
     }
+    // The upstream's answer will be late or come from elsewhere: the sender must not take the
+    // agent for dead.
+    reportTo(from, now);
     if (!full) {
         handOn(segment.flow, std::move(bytes), segment.trail, "upstream is cold",
                segment.acknowledgement, now);
@@ -177,8 +189,6 @@
     if (displaced) {
         refuseQueued(*displaced, "queue is full", now);
     }
-    // The sender learns from a report that the flow has arrived.
-    m_nextReport = now;
 }
 
 void AgentSteering::refuseQueued(const QueuedOpening &opening, std::string_view reason, Instant now)
@@ -281,6 +291,8 @@
 
 void AgentSteering::onContinuation(const Segment &segment, PacketBytes bytes, Instant now)
 {
+    // A caller that is past its opening has been taken elsewhere.
+    m_queue.erase(segment.flow);
     const auto found = m_flows.find(segment.flow);
     if (found == m_flows.end()) {
         if (mayHoldUnknown(now)) {
@@ -304,6 +316,9 @@
     }
     flow.callerAcknowledgement = segment.acknowledgement;
     if (flow.stage == FlowStage::Offered || flow.stage == FlowStage::Accepted) {
+        if (flow.waiting && flow.stage == FlowStage::Accepted) {
+            smooth(m_callerAnswerMs, now - flow.acceptedAt);
+        }
         setWaiting(flow, false);
         flow.stage = FlowStage::Open;
         flow.opening.clear();
@@ -314,6 +329,9 @@
         reset(segment.flow, segment.acknowledgement, "upstream has crashed", now);
         return;
     }
+    if (segment.trail.hops > 0 || segment.trail.position > 0) {
+        tellLocation(segment.flow, flow, now);
+    }
     if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
         setBusy(flow, true, now);
     }
@@ -487,9 +505,7 @@
         return;
     }
     --m_busy;
-    const auto sample = static_cast<double>((now - flow.busySince).count());
-    m_serviceTimeMs =
-        m_serviceTimeMs == 0 ? sample : m_serviceTimeMs + SampleShare * (sample - m_serviceTimeMs);
+    smooth(m_serviceTimeMs, now - flow.busySince);
 }
 
 void AgentSteering::setWaiting(OwnedFlow &flow, bool waiting)
@@ -574,7 +590,7 @@
     while (!m_accepted.empty()) {
         const auto found = m_flows.find(m_accepted.front());
         const bool waits = found != m_flows.end() && found->second.waiting;
-        if (waits && now - found->second.acceptedAt < m_settings.callerAnswer) {
+        if (waits && now - found->second.acceptedAt < callerAnswerTime()) {
             return;
         }
         m_accepted.pop_front();
@@ -585,6 +601,15 @@
     }
 }
 
+Millis AgentSteering::callerAnswerTime() const
+{
+    if (m_callerAnswerMs == 0) {
+        return m_settings.callerAnswerMax;
+    }
+    const Millis usual(static_cast<std::int64_t>(m_callerAnswerMs * m_settings.callerAnswerFactor));
+    return std::clamp(usual, m_settings.callerAnswerMin, m_settings.callerAnswerMax);
+}
+
 void AgentSteering::checkCrash(Instant now)
 {
     const bool crashed = m_silent && m_unanswered >= m_settings.crashPackets
@@ -660,7 +685,38 @@
     }
     m_nextReport = now + m_settings.reportInterval;
     std::erase_if(m_senders,
-                  [&](const auto &s) { return now - s.second > m_settings.reportMemory; });
+                  [&](const auto &s) { return now - s.second.seen > m_settings.reportMemory; });
+    const LoadReport report = makeReport(now);
+    for (const Endpoint &process : reportTargets(now)) {
+        m_hooks.report(process, report);
+    }
+}
+
+void AgentSteering::reportTo(const Endpoint &sender, Instant now)
+{
+    const auto known = m_senders.find(sender);
+    if (known != m_senders.end() && now - known->second.reported >= m_settings.arrivalReport) {
+        known->second.reported = now;
+        m_hooks.report(sender, makeReport(now));
+    }
+}
+
+void AgentSteering::tellLocation(const FlowKey &key, OwnedFlow &flow, Instant now)
+{
+    if (now - flow.locatedAt < m_settings.locationInterval) {
+        return;
+    }
+    flow.locatedAt = now;
+    std::size_t told = 0;
+    for (const auto &[process, sender] : m_senders) {
+        if (told++ < m_settings.reportTargetsMax) {
+            m_hooks.tellLocation(process, {key, m_settings.self});
+        }
+    }
+}
+
+LoadReport AgentSteering::makeReport(Instant now) const
+{
     const LoadEstimate own = load(now);
     LoadReport report;
     report.sender = m_settings.self;
@@ -682,9 +738,7 @@
         m_directory.isSettled(now) && m_directory.upstreamAt(m_settings.upstream) == nullptr;
     report.draining = m_stopping || gone;
     report.silentUpstream = m_silent;
-    for (const Endpoint &process : reportTargets(now)) {
-        m_hooks.report(process, report);
-    }
+    return report;
 }
 
 std::vector<Endpoint> AgentSteering::reportTargets(Instant now)
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -45,7 +45,7 @@
         return;
     }
     const auto found = m_flows.find(segment.flow);
-    if (found == m_flows.end()) {
+    if (found == m_flows.end() || found->second.searching) {
         search(segment, *route, std::move(bytes), now);
         return;
     }
@@ -70,6 +70,9 @@
     flow.seen = now;
     if (isNew) {
         m_sweep.push_back(segment.flow);
+    } else if (flow.searching) {
+        flow = Placed {};
+        flow.seen = now;
     } else if (flow.confirmed || now - flow.offeredAt < m_settings.offerTimeout
                || hasArrived(flow)) {
         // A copy of the opening packet that crossed the answer, or of a flow that waits there.
@@ -212,6 +215,13 @@
         return;
     }
     ++m_counters.searched;
+    const auto [known, isNew] = m_flows.try_emplace(segment.flow);
+    if (isNew) {
+        m_sweep.push_back(segment.flow);
+        known->second.searching = true;
+        known->second.confirmed = true;
+    }
+    known->second.seen = now;
     Trail trail;
     trail.position = 1;
     m_codec.setTrail(bytes, segment.flow, trail);
@@ -244,6 +254,18 @@
     }
 }
 
+void BalancerSteering::onFlowLocated(const FlowLocated &located, Instant now)
+{
+    const auto found = m_flows.find(located.flow);
+    if (found == m_flows.end()) {
+        return;
+    }
+    note("learn owner", "owner named itself", located.flow, located.agent, now);
+    found->second.agent = located.agent;
+    found->second.searching = false;
+    found->second.confirmed = true;
+}
+
 bool BalancerSteering::hasArrived(const Placed &flow) const
 {
     // An agent that has reported since the offer lives: the flow waits for a slot there.
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -249,6 +249,15 @@
             }
         });
     };
+    hooks.tellLocation = [this](const Endpoint &to, const FlowLocated &located) {
+        after(NetworkDelay, [this, to, located] {
+            for (std::size_t i = 0; i < m_balancers.size(); ++i) {
+                if (to == balancerAddress(i)) {
+                    m_balancers[i].steering->onFlowLocated(located, m_now);
+                }
+            }
+        });
+    };
     hooks.peers = [this] {
         std::vector<Endpoint> peers;
         for (std::size_t i = 0; i < m_balancers.size(); ++i) {
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -446,6 +446,29 @@
               20U);
 }
 
+TEST(SteeringFlows, ThatWereSearchedGoStraightToTheirOwnerAfterwards)
+{
+    Small fleet(0, 6);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 40; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(100));
+    fleet.restartBalancer(0);
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(300));
+    const std::uint64_t searched = fleet.balancer(0).counters().searched;
+    EXPECT_GT(searched, 0U);
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(300));
+    EXPECT_EQ(fleet.balancer(0).counters().searched, searched);
+    EXPECT_EQ(answeredOf(fleet, 40), 40U);
+}
+
 // Overload
 
 TEST(SteeringOverload, FlowsThatCanBeInTimeComeBeforeThoseThatAreLate)
@@ -474,6 +497,24 @@
     EXPECT_GE(answeredOf(fleet, Backlog), Backlog / 4);
 }
 
+TEST(SteeringOverload, FlowsThatWaitAreOfferedOnce)
+{
+    Small fleet(0, 2);
+    fleet.upstream(0).work = Millis(100);
+    fleet.upstream(1).work = Millis(100);
+    for (int i = 0; i < 60; ++i) {
+        fleet.openFlow(0);
+    }
+    fleet.runFor(Millis(1300));
+    std::vector<FlowKey> opened = fleet.upstream(0).opened;
+    opened.insert(opened.end(), fleet.upstream(1).opened.begin(), fleet.upstream(1).opened.end());
+    const std::size_t all = opened.size();
+    std::sort(opened.begin(), opened.end());
+    opened.erase(std::unique(opened.begin(), opened.end()), opened.end());
+    EXPECT_EQ(opened.size(), all);
+    EXPECT_EQ(fleet.balancer(0).counters().reoffered, 0U);
+}
+
 TEST(SteeringOverload, CallersThatGaveUpHoldNoSlot)
 {
     Small fleet(0, 1);
