--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -45,6 +45,9 @@
     /// What the platform removes within this time of its return may only have expired while it
     /// was away.
     Millis lapseWindow {4000};
+    /// Without a reply of any peer for this long the process is cut off; it asks several peers
+    /// twice a second.
+    Millis isolation {1500};
     std::size_t fanOut = 4; ///< peers told of a new version at once
 };
 
@@ -113,6 +116,9 @@
     [[nodiscard]] const RumorTable &rumors() const noexcept { return m_rumors; }
     [[nodiscard]] const DisseminationCounters &counters() const noexcept { return m_counters; }
     [[nodiscard]] bool isReady(Instant now) const;
+    /// @brief Whether a peer answered a question of this process lately: packets pass both ways.
+    /// True where no peer is known.
+    [[nodiscard]] bool isConnected(Instant now) const;
     [[nodiscard]] bool isReader() const noexcept { return m_isReader; }
     [[nodiscard]] Millis platformAge(Instant now) const;
     /// @brief Every process that this one could ask.
@@ -133,6 +139,7 @@
     void take(const ChangeBatch &batch, Instant now);
     void confirm(Instant since);
     void updateRank(const std::vector<Vm> &vms);
+    [[nodiscard]] bool lacksReply(Instant now) const;
     void findAgents();
     void askReaders(Instant now);
     [[nodiscard]] bool shouldRead(Instant now) const;
@@ -168,6 +175,7 @@
     Instant m_nextRead;
     Instant m_nextVmList;
     Instant m_platformFailedAt;
+    Instant m_repliedAt; ///< when a peer answered last
     std::uint64_t m_rounds = 0;
     Millis m_retry {};
     Millis m_listRetry {};
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -70,8 +70,11 @@
             m_steering->onFlowLocated(located, Clock::now());
         };
         hooks.isReady = [this] {
-            return !m_stopping && m_runtime->directory().hasRoutes()
-                && m_runtime->plane().dissemination().isReady(Clock::now());
+            // A balancer that is cut off would swallow its callers' packets.
+            const Instant now = Clock::now();
+            const Dissemination &spread = m_runtime->plane().dissemination();
+            return !m_stopping && m_runtime->directory().hasRoutes() && spread.isReady(now)
+                && spread.isConnected(now);
         };
         hooks.addStatus = [](nlohmann::json &status) {
             status["role"] = "balancer";
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -50,6 +50,7 @@
 void Dissemination::start(Instant now)
 {
     m_started = now;
+    m_repliedAt = now;
     m_probeAt = now;
     m_pause.observe(now);
     m_nextGossip = now;
@@ -87,6 +88,17 @@
     return !suspect && isReady(now);
 }
 
+bool Dissemination::lacksReply(Instant now) const
+{
+    return now - m_repliedAt > m_settings.gossipInterval * 2;
+}
+
+bool Dissemination::isConnected(Instant now) const
+{
+    const Instant since = std::max(m_repliedAt, m_started);
+    return now - since <= m_settings.isolation || peers().empty();
+}
+
 bool Dissemination::isReady(Instant now) const
 {
     // A section that never had a good text must not hold up the others for longer than the bound.
@@ -104,7 +116,8 @@
         if (m_settings.asksReaders) {
             askReaders(now);
         }
-        const bool random = !m_settings.asksReaders || ++m_rounds % RoundsPerRandomPeer == 0;
+        const bool random =
+            !m_settings.asksReaders || lacksReply(now) || ++m_rounds % RoundsPerRandomPeer == 0;
         tellSome(unsure ? PeersAskedAtStart : (random ? 1 : 0), true, now);
         if (m_pause.isSuspect(now)) {
             sendNotice(m_settings.self, false, 0, now);
@@ -225,7 +238,7 @@
 void Dissemination::askReaders(Instant now)
 {
     // The first reader is enough while it answers; a silent one costs one round.
-    const bool stale = platformAge(now) > m_settings.readerLease;
+    const bool stale = platformAge(now) > m_settings.readerLease || lacksReply(now);
     const std::size_t asked = std::min<std::size_t>(stale ? 2 : 1, m_readers.size());
     for (std::size_t i = 0; i < asked; ++i) {
         if (m_readers[i] != m_settings.self) {
@@ -262,6 +275,9 @@
         return;
     }
     ++m_counters.noticesReceived;
+    if (notice.echo != 0) {
+        m_repliedAt = now;
+    }
     remember(notice.sender);
     if (notice.serving) {
         m_rumors.alive(notice.sender, now);
--- a/tests/unit-load.cpp
+++ b/tests/unit-load.cpp
@@ -40,7 +40,8 @@
     cold.collapseAt = 6;
     cold.mostAtOnce = 0;
     fleet.start("agent-kits-2");
-    load(fleet, callers, 8, Millis(4000));
+    // New flows reach the new process; those of before live elsewhere.
+    load(fleet, fleet.addCallers(60), 14, Millis(4000));
     EXPECT_EQ(cold.collapses, 0U) << cold.mostAtOnce;
     EXPECT_GT(fleet.host("agent-kits-2").agent->counters().runs, 0U);
 }
@@ -54,7 +55,7 @@
     FakeUpstream &cold = fleet.upstream("kits-3");
     cold.serviceTime = Millis(120);
     cold.collapseAt = 8;
-    load(fleet, callers, 10, Millis(4000));
+    load(fleet, callers, 26, Millis(4000));
     EXPECT_EQ(cold.collapses, 0U) << cold.mostAtOnce;
 }
 
