Prefer upstreams of the own failure domain, fewer reports on calm upstreams

Ruled out: reports on change only (a balancer could not tell a queued flow from a dead agent). Change: upstreams of the own domain come first while their load is below 0.7 of their slots; calm upstreams report every 450 ms; what was sent since a report decays with the usual time of a request. Timers of flows that were offered again no longer hold up those behind them; copies follow a flow that waits at another agent; hand-on picks an upstream with room.

--- a/include/bergamotglade/detail/admission/load_board.hpp
+++ b/include/bergamotglade/detail/admission/load_board.hpp
@@ -19,6 +19,8 @@
     double better = 0.75; ///< hand on when a peer expects less than this share of our wait
     double lendAbove = 0.6; ///< own use above which idempotent requests may be lent
     std::size_t choices = 3; ///< peers compared for one flow or request
+    /// Usual times after which a request that was sent since the last report has mostly ended.
+    double sentMemory = 2;
 };
 
 /// Load of one agent in comparable form: how long a request that comes now would take.
@@ -46,7 +48,7 @@
 
     void onReport(const LoadReport &report, Instant now);
     /// @brief We sent a peer a flow or a request that its report cannot show yet.
-    void onSent(const Endpoint &peer);
+    void onSent(const Endpoint &peer, Instant now);
 
     /// @brief The best of a few peers, if it is clearly better than `own`.
     /// @param own our own load
@@ -82,7 +84,8 @@
     {
         LoadReport report;
         Instant heard;
-        double sentSince = 0;
+        double sentSince = 0; ///< requests sent since the report, as of sentAt
+        Instant sentAt;
     };
     struct Watched
     {
@@ -90,7 +93,8 @@
         Instant named;
     };
 
-    [[nodiscard]] LoadEstimate estimateOf(const Peer &peer, double usualTimeMs) const;
+    [[nodiscard]] LoadEstimate estimateOf(const Peer &peer, double usualTimeMs, Instant now) const;
+    [[nodiscard]] double sentStillThere(const Peer &peer, Instant now) const;
     [[nodiscard]] double usualTimeMs(Instant now) const;
 
     PlacementSettings m_settings;
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -62,7 +62,9 @@
     /// A stop waits for flows with a packet within this time: one retransmission of either end.
     Millis stopQuiet {1700};
     Millis endedLinger {2000}; ///< an ended flow is kept for late packets
-    Millis reportInterval {150}; ///< between two load reports to the same process
+    Millis reportInterval {150}; ///< between two load reports of a loaded upstream
+    Millis calmReportInterval {450}; ///< and of one whose load is below calmUse
+    double calmUse = 0.6;
     Millis reportMemory {2000}; ///< processes that sent a new flow within this get reports
     std::size_t reportTargetsMax = 48;
     /// A sender of a flow that waits or was handed on is told at once that it arrived, at most
@@ -198,8 +200,8 @@
     OpeningQueue m_queue;
     std::unordered_map<FlowKey, OwnedFlow> m_flows;
     std::deque<FlowKey> m_sweep;
-    std::deque<FlowKey> m_offered; ///< flows given to the upstream, oldest first
-    std::deque<FlowKey> m_accepted; ///< flows that wait for the caller's answer, oldest first
+    std::deque<TimedFlow> m_offered; ///< flows given to the upstream, oldest first
+    std::deque<TimedFlow> m_accepted; ///< flows that wait for the caller's answer, oldest first
     std::unordered_map<FlowKey, FailedSearch> m_failedSearches;
     std::unordered_map<Endpoint, Sender> m_senders; ///< processes that sent new flows lately
     std::uint32_t m_busy = 0;
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -18,6 +18,9 @@
     Millis offerTimeout {80};
     /// Agents that one flow is offered to, copies of the caller included.
     std::uint8_t offersMax = 3;
+    /// Upstreams of the own failure domain are preferred while their load, with the new flow, is at
+    /// most this share of their slots: bytes between failure domains are dear.
+    double homeUse = 0.7;
     /// An agent that left an offer unanswered gets no new flows for this long, unless it reports.
     Millis doubt {1500};
     /// Flows remembered; the oldest are forgotten first.
@@ -92,6 +95,10 @@
     void refuse(const Segment &segment, std::string_view reason, Instant now);
     [[nodiscard]] std::optional<Endpoint> choose(const FlowKey &key, const RouteEntry &route,
                                                  const std::vector<Endpoint> &tried, Instant now);
+    [[nodiscard]] std::optional<Endpoint> bestCandidate(const ServiceTable &table,
+                                                        const FlowKey &key,
+                                                        const std::vector<Endpoint> &tried,
+                                                        Instant now) const;
     [[nodiscard]] std::optional<Endpoint> leastLoaded(const std::vector<Endpoint> &agents,
                                                       Instant now) const;
     [[nodiscard]] bool hasArrived(const Placed &flow) const;
@@ -108,7 +115,7 @@
     BalancerSteeringHooks m_hooks;
     LoadBoard m_board;
     std::unordered_map<FlowKey, Placed> m_flows;
-    std::deque<FlowKey> m_offered; ///< flows that wait for the caller's next packet, oldest first
+    std::deque<TimedFlow> m_offered; ///< flows that wait for the caller's next packet
     struct Held
     {
         Segment segment;
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -25,6 +25,8 @@
 /// Times of the directory.
 struct DirectorySettings
 {
+    /// Failure domain whose upstreams are preferred; none prefers nobody.
+    FailureDomainId home;
     /// An entry that expired around an outage stays in use for this long; registrations are back
     /// about two seconds after the platform is.
     Millis lapseGrace {2200};
@@ -71,6 +73,8 @@
     [[nodiscard]] static ServiceName serviceFor(const RouteEntry &route, const FlowKey &flow);
     /// @brief Candidates of a service's new flows; null where no upstream of it takes any.
     [[nodiscard]] const ServiceTable *table(const ServiceName &service) const;
+    /// @brief As table(), of the upstreams in the home failure domain only.
+    [[nodiscard]] const ServiceTable *homeTable(const ServiceName &service) const;
     /// @brief Agents that may hold a flow of a route, in the order in which they are asked.
     /// @complexity n log n in the upstreams of the route's services
     [[nodiscard]] std::vector<Endpoint> holders(const RouteEntry &route, const FlowKey &flow) const;
@@ -107,6 +111,8 @@
     void erase(const UpstreamId &id);
     void rebuild(const ServiceName &service);
     void rebuildAll();
+    void rebuildTable(std::map<ServiceName, ServiceTable> &tables,
+                      const std::shared_ptr<const Service> &service);
 
     DirectorySettings m_settings;
     std::optional<std::uint64_t> m_version;
@@ -119,6 +125,7 @@
     std::unordered_map<Endpoint, UpstreamId> m_byAgent;
     View m_view;
     std::map<ServiceName, ServiceTable> m_tables;
+    std::map<ServiceName, ServiceTable> m_homeTables;
 };
 
 } // namespace bergamotglade
--- a/include/bergamotglade/detail/steering/segment.hpp
+++ b/include/bergamotglade/detail/steering/segment.hpp
@@ -43,6 +43,13 @@
     Trail trail;
 };
 
+/// A flow in a queue of timers. An entry whose time is not the flow's own any more is void.
+struct TimedFlow
+{
+    FlowKey flow;
+    Instant at;
+};
+
 /// Bytes of one packet as received.
 using PacketBytes = std::string;
 
--- a/src/admission/load_board.cpp
+++ b/src/admission/load_board.cpp
@@ -20,26 +20,39 @@
 void LoadBoard::onReport(const LoadReport &report, Instant now)
 {
     Peer &peer = m_peers[report.sender];
-    peer = Peer {report, now, 0};
+    peer = Peer {report, now, 0, now};
     const auto watched = m_watched.find(report.sender);
     if (watched != m_watched.end()) {
         watched->second = {now, Instant()};
     }
 }
 
-void LoadBoard::onSent(const Endpoint &peer)
+void LoadBoard::onSent(const Endpoint &peer, Instant now)
 {
     const auto found = m_peers.find(peer);
-    if (found != m_peers.end()) {
-        found->second.sentSince += 1;
+    if (found == m_peers.end()) {
+        return;
+    }
+    Peer &known = found->second;
+    known.sentSince = sentStillThere(known, now) + 1;
+    known.sentAt = now;
+}
+
+double LoadBoard::sentStillThere(const Peer &peer, Instant now) const
+{
+    // How long a request takes is not known yet.
+    if (peer.report.serviceTimeMs == 0) {
+        return peer.sentSince;
     }
+    const auto passed = static_cast<double>((now - peer.sentAt).count());
+    return peer.sentSince * std::exp(-passed / (peer.report.serviceTimeMs * m_settings.sentMemory));
 }
 
-LoadEstimate LoadBoard::estimateOf(const Peer &peer, double usualTimeMs) const
+LoadEstimate LoadBoard::estimateOf(const Peer &peer, double usualTimeMs, Instant now) const
 {
     const double time = peer.report.serviceTimeMs == 0 ? usualTimeMs : peer.report.serviceTimeMs;
-    return {static_cast<double>(peer.report.running), peer.report.queued + peer.sentSince,
-            peer.report.limit, time};
+    return {static_cast<double>(peer.report.running),
+            peer.report.queued + sentStillThere(peer, now), peer.report.limit, time};
 }
 
 std::optional<Endpoint>
@@ -61,7 +74,7 @@
     double bestMs = own.expectedMs() * m_settings.better;
     for (std::size_t i = 0; i < m_settings.choices && !peers.empty(); ++i) {
         const std::size_t at = below(m_random, peers.size());
-        const double ms = estimateOf(*peers[at], own.serviceTimeMs).expectedMs();
+        const double ms = estimateOf(*peers[at], own.serviceTimeMs, now).expectedMs();
         if (ms < bestMs) {
             best = peers[at];
             bestMs = ms;
@@ -94,7 +107,7 @@
         unknown.serviceTimeMs = usualTimeMs(now);
         return unknown;
     }
-    return estimateOf(found->second, usualTimeMs(now));
+    return estimateOf(found->second, usualTimeMs(now), now);
 }
 
 Instant LoadBoard::heardAt(const Endpoint &peer) const
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -22,6 +22,13 @@
 /// Lines about packets that could not be read.
 constexpr Millis BadPacketLogInterval {1000};
 
+DirectorySettings directorySettings(const CommonSettings &common)
+{
+    DirectorySettings settings;
+    settings.home = common.domain;
+    return settings;
+}
+
 } // namespace
 
 SteeringRuntime::SteeringRuntime(const CommonSettings &common,
@@ -29,6 +36,7 @@
     : m_common(common)
     , m_steering(steering)
     , m_hooks(std::move(hooks))
+    , m_directory(directorySettings(common))
 { }
 
 Result<std::unique_ptr<SteeringRuntime>>
--- a/src/node/agent_route.cpp
+++ b/src/node/agent_route.cpp
@@ -185,7 +185,7 @@
         if (better) {
             ++m_counters.flowsPlaced;
             packet.placed = true;
-            m_board.onSent(*better);
+            m_board.onSent(*better, now);
             passOn(*better, packet);
             return;
         }
--- a/src/node/agent_run.cpp
+++ b/src/node/agent_run.cpp
@@ -91,7 +91,7 @@
         return false;
     }
     ++m_counters.requestsLent;
-    m_board.onSent(*better);
+    m_board.onSent(*better, now);
     DataPacket lent = packet;
     lent.lent = true;
     return passOn(*better, lent);
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -66,6 +66,12 @@
         deliver(bytes, now);
         return;
     }
+    const bool moved = known != m_flows.end() && known->second.stage == FlowStage::Moved;
+    if (moved && m_board.heardAt(known->second.movedTo) > known->second.offeredAt) {
+        // A copy of a flow that waits at the other agent.
+        follow(known->second.movedTo, segment, std::move(bytes), now);
+        return;
+    }
     const RouteEntry *route = m_directory.routeAt(segment.flow.service);
     if (route == nullptr || !m_hooks.mayAct(now)) {
         // The sender may know a newer route; the caller sends a copy soon.
@@ -240,7 +246,7 @@
     flow.opening = bytes;
     setWaiting(flow, true);
     ++m_counters.opened;
-    m_offered.push_back(key);
+    m_offered.push_back({key, now});
     note("take", "room here", key, m_settings.upstream, now);
     deliver(bytes, now);
 }
@@ -259,6 +265,14 @@
             }
         }
     }
+    // Upstreams with room come first; where there is none, any will do.
+    const auto full =
+        std::stable_partition(others.begin(), others.end(), [&](const Endpoint &agent) {
+            return m_board.estimate(agent, now).use() <= 1;
+        });
+    if (full != others.begin()) {
+        others.erase(full, others.end());
+    }
     // Two random ones, the less loaded of both: a sure best would get all that others hand on.
     const Endpoint *best = nullptr;
     double bestMs = 0;
@@ -277,12 +291,13 @@
     }
     ++trail.hops;
     ++m_counters.handedOn;
-    m_board.onSent(*best);
+    m_board.onSent(*best, now);
     drop(key);
     OwnedFlow &moved = m_flows[key];
     m_sweep.push_back(key);
     moved.stage = FlowStage::Moved;
     moved.movedTo = *best;
+    moved.offeredAt = now;
     moved.seen = now;
     m_codec.setTrail(bytes, key, trail);
     note("hand on", reason, key, *best, now);
@@ -346,6 +361,11 @@
 {
     Trail trail = segment.trail;
     if (trail.hops >= m_settings.noteHopsMax) {
+        if (segment.opens) {
+            // The caller sends a copy, or gives up.
+            ++m_counters.silent;
+            return;
+        }
         passOn(segment, std::move(bytes), "note leads nowhere", now);
         return;
     }
@@ -447,7 +467,7 @@
         if (flow.stage == FlowStage::Offered) {
             flow.stage = FlowStage::Accepted;
             flow.acceptedAt = now;
-            m_accepted.push_back(segment.flow);
+            m_accepted.push_back({segment.flow, now});
         }
     }
     if (segment.dataBytes > 0) {
@@ -550,10 +570,11 @@
 {
     // The upstream's answers wait in the socket.
     m_unanswered = 0;
-    for (const FlowKey &key : m_offered) {
-        const auto found = m_flows.find(key);
-        if (found != m_flows.end()) {
+    for (TimedFlow &entry : m_offered) {
+        const auto found = m_flows.find(entry.flow);
+        if (found != m_flows.end() && found->second.offeredAt == entry.at) {
             found->second.offeredAt = now;
+            entry.at = now;
         }
     }
 }
@@ -561,9 +582,10 @@
 void AgentSteering::checkOffers(Instant now)
 {
     while (!m_offered.empty()) {
-        const FlowKey key = m_offered.front();
+        const FlowKey key = m_offered.front().flow;
         const auto found = m_flows.find(key);
-        const bool waits = found != m_flows.end() && found->second.stage == FlowStage::Offered;
+        const bool waits = found != m_flows.end() && found->second.stage == FlowStage::Offered
+            && found->second.offeredAt == m_offered.front().at;
         if (waits && now - found->second.offeredAt < m_settings.offerTimeout) {
             break;
         }
@@ -588,8 +610,9 @@
 void AgentSteering::checkAccepted(Instant now)
 {
     while (!m_accepted.empty()) {
-        const auto found = m_flows.find(m_accepted.front());
-        const bool waits = found != m_flows.end() && found->second.waiting;
+        const auto found = m_flows.find(m_accepted.front().flow);
+        const bool waits = found != m_flows.end() && found->second.waiting
+            && found->second.acceptedAt == m_accepted.front().at;
         if (waits && now - found->second.acceptedAt < callerAnswerTime()) {
             return;
         }
@@ -683,7 +706,8 @@
     if (now < m_nextReport && !atOnce) {
         return;
     }
-    m_nextReport = now + m_settings.reportInterval;
+    const bool calm = load(now).use() < m_settings.calmUse && !m_silent && !m_stopping;
+    m_nextReport = now + (calm ? m_settings.calmReportInterval : m_settings.reportInterval);
     std::erase_if(m_senders,
                   [&](const auto &s) { return now - s.second.seen > m_settings.reportMemory; });
     const LoadReport report = makeReport(now);
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -148,9 +148,9 @@
     flow.agent = *agent;
     flow.tried.push_back(*agent);
     flow.offeredAt = now;
-    m_offered.push_back(key);
+    m_offered.push_back({key, now});
     ++m_counters.placed;
-    m_board.onSent(*agent);
+    m_board.onSent(*agent, now);
     note("offer", reason, key, *agent, now);
     m_hooks.forward(*agent, flow.opening);
 }
@@ -162,13 +162,14 @@
     if (table == nullptr) {
         return std::nullopt;
     }
-    std::vector<Endpoint> near;
-    for (const Endpoint &agent : table->candidates(bucketOf(key))) {
-        if (!contains(tried, agent) && !isDoubted(agent, now)) {
-            near.push_back(agent);
+    const ServiceTable *home = m_directory.homeTable(table->service().name);
+    if (home != nullptr) {
+        const auto near = bestCandidate(*home, key, tried, now);
+        if (near && m_board.estimate(*near, now).use() <= m_settings.homeUse) {
+            return near;
         }
     }
-    const auto best = leastLoaded(near, now);
+    const auto best = bestCandidate(*table, key, tried, now);
     if (best && m_board.estimate(*best, now).use() <= 1) {
         return best;
     }
@@ -186,6 +187,20 @@
     return other ? other : leastLoaded(doubted, now);
 }
 
+std::optional<Endpoint> BalancerSteering::bestCandidate(const ServiceTable &table,
+                                                        const FlowKey &key,
+                                                        const std::vector<Endpoint> &tried,
+                                                        Instant now) const
+{
+    std::vector<Endpoint> candidates;
+    for (const Endpoint &agent : table.candidates(bucketOf(key))) {
+        if (!contains(tried, agent) && !isDoubted(agent, now)) {
+            candidates.push_back(agent);
+        }
+    }
+    return leastLoaded(candidates, now);
+}
+
 std::optional<Endpoint> BalancerSteering::leastLoaded(const std::vector<Endpoint> &agents,
                                                       Instant now) const
 {
@@ -292,10 +307,11 @@
 void BalancerSteering::onPause(Instant now)
 {
     // Callers' next packets wait in the socket.
-    for (const FlowKey &key : m_offered) {
-        const auto found = m_flows.find(key);
-        if (found != m_flows.end()) {
+    for (TimedFlow &entry : m_offered) {
+        const auto found = m_flows.find(entry.flow);
+        if (found != m_flows.end() && found->second.offeredAt == entry.at) {
             found->second.offeredAt = now;
+            entry.at = now;
         }
     }
 }
@@ -303,9 +319,10 @@
 void BalancerSteering::checkOffers(Instant now)
 {
     while (!m_offered.empty()) {
-        const FlowKey key = m_offered.front();
+        const FlowKey key = m_offered.front().flow;
         const auto found = m_flows.find(key);
-        const bool waits = found != m_flows.end() && !found->second.confirmed;
+        const bool waits = found != m_flows.end() && !found->second.confirmed
+            && found->second.offeredAt == m_offered.front().at;
         if (waits && now - found->second.offeredAt < m_settings.offerTimeout) {
             break;
         }
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 Directory::Directory(DirectorySettings settings)
-    : m_settings(settings)
+    : m_settings(std::move(settings))
 { }
 
 Findings Directory::take(const SectionChange &change, Instant now)
@@ -217,15 +217,26 @@
         }
     }
     m_tables.erase(service);
+    m_homeTables.erase(service);
     if (merged.upstreams.empty()) {
         m_view.remove(section.name);
         return;
     }
+    auto home = std::make_shared<Service>(merged);
+    std::erase_if(home->upstreams,
+                  [&](const Upstream &upstream) { return upstream.domain != m_settings.home; });
     section.services.push_back(std::move(merged));
     m_view.put(section, ServiceOrder);
-    const ServiceTable table(m_view.service(service), m_view, rendezvousScore);
+    rebuildTable(m_tables, m_view.service(service));
+    rebuildTable(m_homeTables, home);
+}
+
+void Directory::rebuildTable(std::map<ServiceName, ServiceTable> &tables,
+                             const std::shared_ptr<const Service> &service)
+{
+    const ServiceTable table(service, m_view, rendezvousScore);
     if (table.usable() > 0) {
-        m_tables.emplace(service, table);
+        tables.emplace(service->name, table);
     }
 }
 
@@ -267,6 +278,12 @@
     return found == m_tables.end() ? nullptr : &found->second;
 }
 
+const ServiceTable *Directory::homeTable(const ServiceName &service) const
+{
+    const auto found = m_homeTables.find(service);
+    return found == m_homeTables.end() ? nullptr : &found->second;
+}
+
 std::vector<Endpoint> Directory::holders(const RouteEntry &route, const FlowKey &flow) const
 {
     std::vector<ServiceName> services;
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -80,13 +80,40 @@
         balancer.directory->expire(m_now);
         balancer.steering->onTick(m_now);
     }
+    if (!m_agentsFrozen) {
+        tickAgents();
+    }
+    after(Tick, [this] { tick(); });
+}
+
+void SteeringFleet::tickAgents()
+{
     for (std::size_t i = 0; i < m_agents.size(); ++i) {
         if (!deadAgents.contains(i)) {
             m_agents[i].directory->expire(m_now);
             m_agents[i].steering->onTick(m_now);
         }
     }
-    after(Tick, [this] { tick(); });
+}
+
+void SteeringFleet::atAgent(std::function<void()> run)
+{
+    if (m_agentsFrozen) {
+        m_waitingForAgents.push_back(std::move(run));
+    } else {
+        run();
+    }
+}
+
+void SteeringFleet::thawAgents()
+{
+    m_agentsFrozen = false;
+    tickAgents();
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(m_waitingForAgents);
+    for (const auto &run : waiting) {
+        run();
+    }
 }
 
 SectionChange
@@ -199,7 +226,7 @@
         toCaller(caller, bytes);
     };
     hooks.mayAct = [this](Instant) {
-        return mayAct;
+        return balancersMayAct;
     };
     process.steering =
         std::make_unique<BalancerSteering>(balancerSettings, *process.directory, m_codec,
@@ -266,7 +293,7 @@
         return peers;
     };
     hooks.mayAct = [this](Instant) {
-        return mayAct;
+        return agentsMayAct;
     };
     process.steering = std::make_unique<AgentSteering>(
         std::move(settings), *process.directory, m_codec, std::move(hooks),
@@ -289,8 +316,10 @@
         if (index == m_agents.size() || deadAgents.contains(index)) {
             return;
         }
-        const auto segment = m_codec.fromCaller(bytes);
-        m_agents[index].steering->onCallerPacket(segment.value(), bytes, from, m_now);
+        atAgent([this, index, bytes, from] {
+            const auto segment = m_codec.fromCaller(bytes);
+            m_agents[index].steering->onCallerPacket(segment.value(), bytes, from, m_now);
+        });
     });
 }
 
@@ -354,8 +383,10 @@
 {
     after(Millis(0), [this, index, bytes = std::move(bytes)] {
         if (!deadAgents.contains(index)) {
-            const Segment segment = m_codec.fromUpstream(bytes).value();
-            m_agents[index].steering->onUpstreamPacket(segment, bytes, m_now);
+            atAgent([this, index, bytes] {
+                const Segment segment = m_codec.fromUpstream(bytes).value();
+                m_agents[index].steering->onUpstreamPacket(segment, bytes, m_now);
+            });
         }
     });
 }
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -83,6 +83,10 @@
     void restartAgent(std::size_t upstream);
     void restartBalancer(std::size_t balancer, bool knowsRoutes = true);
     void runFor(Millis time);
+    /// @brief Agents stand still; what is sent to them waits.
+    void freezeAgents() { m_agentsFrozen = true; }
+    /// @brief Agents go on: their timers run before they read what has waited.
+    void thawAgents();
     /// @}
 
     CallerFlow &flow(std::size_t index) { return m_callers[index]; }
@@ -94,7 +98,8 @@
     [[nodiscard]] std::size_t resets() const;
 
     std::set<std::size_t> deadAgents; ///< by upstream: packets to them are lost
-    bool mayAct = true;
+    bool balancersMayAct = true;
+    bool agentsMayAct = true;
     AgentSteeringSettings agentSettings;
     BalancerSteeringSettings balancerSettings;
 
@@ -123,6 +128,8 @@
     };
 
     void after(Millis delay, std::function<void()> run);
+    void atAgent(std::function<void()> run);
+    void tickAgents();
     void tick();
     void startAgent(std::size_t index, std::unique_ptr<Directory> directory);
     void startBalancer(std::size_t index, std::unique_ptr<Directory> directory);
@@ -148,6 +155,8 @@
     std::vector<SectionChange> m_published;
     std::uint64_t m_revision = 0;
     bool m_ticking = false;
+    bool m_agentsFrozen = false;
+    std::vector<std::function<void()>> m_waitingForAgents;
 };
 
 } // namespace bergamotglade::tests
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -352,35 +352,60 @@
     EXPECT_EQ(answeredOf(fleet, 112), 112U);
 }
 
-TEST(SteeringPause, AProcessThatMayNotActPlacesNothing)
+TEST(SteeringPause, ABalancerThatMayNotActPlacesNothing)
 {
     Small fleet;
-    fleet.mayAct = false;
+    fleet.balancersMayAct = false;
     const std::size_t flow = fleet.openFlow(0);
     fleet.runFor(Millis(500));
     for (std::size_t i = 0; i < 3; ++i) {
         EXPECT_TRUE(fleet.upstream(i).openings.empty());
     }
     EXPECT_FALSE(fleet.flow(flow).wasReset);
-    fleet.mayAct = true;
+    fleet.balancersMayAct = true;
     fleet.runFor(Millis(200));
     EXPECT_TRUE(fleet.flow(flow).answered);
 }
 
+TEST(SteeringPause, AnAgentThatMayNotActTakesNothing)
+{
+    Small fleet;
+    fleet.agentsMayAct = false;
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(300));
+    for (std::size_t i = 0; i < 3; ++i) {
+        EXPECT_TRUE(fleet.upstream(i).openings.empty());
+    }
+    fleet.agentsMayAct = true;
+    fleet.runFor(Millis(700));
+    EXPECT_TRUE(fleet.flow(flow).answered);
+}
+
 TEST(SteeringPause, AnAgentThatWakesDoesNotTakeItsUpstreamForCrashed)
 {
     Small fleet;
     std::vector<std::size_t> flows;
     for (int i = 0; i < 12; ++i) {
-        flows.push_back(fleet.openFlow(0));
+        flows.push_back(fleet.openFlow(0, true));
     }
-    fleet.runFor(Millis(8));
-    // The agents stand still while the upstreams' answers wait.
-    for (std::size_t i = 0; i < 3; ++i) {
-        fleet.agent(i).onTick(fleet.now() + Millis(4000));
+    fleet.runFor(Millis(100));
+    // Requests and new flows are at the upstreams when the agents stop; the answers wait.
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
     }
+    for (int i = 0; i < 6; ++i) {
+        fleet.openFlow(0);
+    }
+    fleet.runFor(Millis(2));
+    fleet.freezeAgents();
+    fleet.runFor(Millis(4000));
+    fleet.thawAgents();
     fleet.runFor(Millis(1000));
-    EXPECT_EQ(fleet.resets(), 0U);
+    // The callers of the six new flows have given up meanwhile; those may be refused.
+    for (const std::size_t flow : flows) {
+        EXPECT_FALSE(fleet.flow(flow).wasReset);
+    }
+    EXPECT_EQ(answeredOf(fleet, 12), 12U);
 }
 
 // Start with nothing
@@ -425,25 +450,36 @@
 TEST(SteeringFlows, PacketsDoNotCircleBetweenAgentsThatHandedAFlowToEachOther)
 {
     Small fleet(0, 2);
-    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.upstream(0).work = Millis(5000);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 30; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(300));
+    for (const std::size_t flow : flows) {
+        if (fleet.upstreamOf(flow) == 0) {
+            fleet.request(flow);
+        }
+    }
     fleet.runFor(Millis(50));
-    // Each agent has handed the flow to the other, and no upstream holds it.
-    fleet.upstream(0).flows.clear();
-    fleet.upstream(1).flows.clear();
-    fleet.upstream(0).full = true;
-    fleet.upstream(1).full = true;
-    const FlowKey key = fleet.flow(flow).key;
-    fleet.flow(flow).open = false;
-    fleet.resendOpening(flow);
-    fleet.runFor(Millis(100));
-    fleet.flow(flow).open = true;
-    const std::uint64_t before =
-        fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
-    fleet.request(flow);
+    // The first agent is full and hands flows to the second, whose upstream answers nothing and
+    // which hands them back.
+    fleet.upstream(1).dead = true;
+    std::vector<std::size_t> late;
+    for (int i = 0; i < 20; ++i) {
+        late.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(150));
+    const auto passed = [&] {
+        return fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
+    };
+    const std::uint64_t before = passed();
+    for (const std::size_t flow : late) {
+        fleet.flow(flow).open = true;
+        fleet.request(flow);
+    }
     fleet.runFor(Millis(1000));
-    EXPECT_EQ(fleet.flow(flow).key, key);
-    EXPECT_LE(fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn - before,
-              20U);
+    EXPECT_LE(passed() - before, late.size() * 20);
 }
 
 TEST(SteeringFlows, ThatWereSearchedGoStraightToTheirOwnerAfterwards)
@@ -504,6 +540,7 @@
     fleet.upstream(1).work = Millis(100);
     for (int i = 0; i < 60; ++i) {
         fleet.openFlow(0);
+        fleet.runFor(Millis(7));
     }
     fleet.runFor(Millis(1300));
     std::vector<FlowKey> opened = fleet.upstream(0).opened;
