A soak of real steering processes with stand-ins for store, callers and upstreams

Change: glade-soak starts balancers and agents on loopback addresses of their own, stops, kills and freezes them, takes the store away, crashes and drains upstreams, changes the configuration, all by a seed, and checks services, drain, resets of held flows, whole answers, and that nothing fails after the faults. Packets of the stand-ins are shared with the unit tests' fleet. Not done: a loopback proxy, evacuation and clocks; fifty seeds.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -160,7 +160,7 @@
     void enqueue(const Segment &segment, PacketBytes bytes, const RouteEntry &route, Instant now);
     void refuseQueued(const QueuedOpening &opening, std::string_view reason, Instant now);
     void serveQueue(Instant now);
-    void take(const FlowKey &key, const Trail &trail, PacketBytes bytes, Instant now);
+    void take(const FlowKey &key, const Trail &trail, const PacketBytes &bytes, Instant now);
     void handOn(const FlowKey &key, PacketBytes bytes, Trail trail, std::string_view reason,
                 std::uint32_t acknowledgement, Instant now);
     void passOn(const Segment &segment, PacketBytes bytes, std::string_view reason, Instant now);
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -89,7 +89,7 @@
     }
     const bool full = (isFull() || !m_queue.empty()) && !takesProbe(now);
     if (!full && coldAdmits(now)) {
-        take(segment.flow, segment.trail, std::move(bytes), now);
+        take(segment.flow, segment.trail, bytes, now);
         return;
     }
     // The upstream's answer will be late or come from elsewhere: the sender must not take the
@@ -217,7 +217,7 @@
         const RouteEntry *route = m_directory.routeAt(next.flow.service);
         std::string_view reason = route == nullptr ? "no route" : whyNotHere(*route, now);
         if (reason.empty() && !isFull() && coldAdmits(now)) {
-            take(next.flow, next.trail, std::move(next.bytes), now);
+            take(next.flow, next.trail, next.bytes, now);
             continue;
         }
         if (reason.empty()) {
@@ -235,7 +235,8 @@
     }
 }
 
-void AgentSteering::take(const FlowKey &key, const Trail &trail, PacketBytes bytes, Instant now)
+void AgentSteering::take(const FlowKey &key, const Trail &trail, const PacketBytes &bytes,
+                         Instant now)
 {
     drop(key);
     OwnedFlow &flow = m_flows[key];
--- /dev/null
+++ b/standins/packets.hpp
@@ -0,0 +1,29 @@
+/// @file
+/// Packets as callers and upstreams of a steered deployment write them.
+#pragma once
+
+#include <bergamotglade/detail/steering/segment.hpp>
+
+namespace bergamotglade::standins {
+
+/// @name Flags of a packet
+/// @{
+inline constexpr std::uint8_t Syn = 128;
+inline constexpr std::uint8_t Ack = 1;
+inline constexpr std::uint8_t Fin = 4;
+inline constexpr std::uint8_t Rst = 64;
+inline constexpr std::uint8_t Bounced = 32;
+/// @}
+
+/// @brief Writes one packet.
+/// @param fromCaller whether the caller or the upstream is its sender
+/// @param data at most 1,200 bytes
+[[nodiscard]] PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
+                                     std::uint32_t sequence, std::uint32_t acknowledgement,
+                                     std::string_view data = {});
+/// @brief The data of a packet.
+[[nodiscard]] std::string_view dataOf(std::string_view packet);
+/// @brief The packet as an upstream returns it.
+[[nodiscard]] PacketBytes returned(PacketBytes packet);
+
+} // namespace bergamotglade::standins
--- /dev/null
+++ b/standins/store.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// Stand-in for the platform's store: items with revisions, lists and watches.
+#pragma once
+
+#include <bergamotglade/detail/net/http.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <map>
+
+namespace bergamotglade::standins {
+
+/// How the store behaves.
+enum class StoreMode : std::uint8_t { Up, Refusing, Silent };
+
+/// Serves reads over HTTP; the test writes.
+class Store
+{
+public:
+    explicit Store(boost::asio::io_context &io);
+
+    Result<void> start(const Endpoint &listen);
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    void setMode(StoreMode mode);
+    [[nodiscard]] StoreMode mode() const noexcept { return m_mode; }
+    [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+    struct Watch
+    {
+        std::uint64_t after = 0;
+        Instant until;
+        HttpResponder respond;
+    };
+
+    void onRequest(const HttpRequest &request, const HttpResponder &respond);
+    void list(const HttpResponder &respond) const;
+    [[nodiscard]] bool answer(std::uint64_t after, bool waited, const HttpResponder &respond) const;
+    void answerWatches();
+    void scheduleTick();
+
+    boost::asio::io_context &m_io;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<HttpServer> m_server;
+    std::map<std::string, Item> m_items;
+    std::uint64_t m_revision = 1;
+    StoreMode m_mode = StoreMode::Up;
+    std::list<Watch> m_watches;
+    std::vector<HttpResponder> m_unanswered; ///< calls that a silent store keeps
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace bergamotglade::standins
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -2,8 +2,6 @@
 
 #include <packet_codec.hpp>
 
-#include <boost/endian/conversion.hpp>
-
 #include <algorithm>
 
 namespace bergamotglade::tests {
@@ -27,27 +25,6 @@
 
 const Endpoint SteeringFleet::RouteAddress {0xc6120001, 443};
 
-PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
-                       std::uint32_t sequence, std::uint32_t acknowledgement, std::size_t dataBytes)
-{
-    PacketBytes bytes(32 + dataBytes, 'd');
-    std::fill(bytes.begin(), bytes.begin() + 32, '\0');
-    auto *head = reinterpret_cast<unsigned char *>(bytes.data());
-    const Endpoint &source = fromCaller ? flow.caller : flow.service;
-    const Endpoint &target = fromCaller ? flow.service : flow.caller;
-    using namespace boost::endian;
-    store_big_u32(head, 0xa1b2c3d5);
-    store_big_u16(head + 4, static_cast<std::uint16_t>(dataBytes));
-    head[10] = flags;
-    store_big_u16(head + 12, target.port);
-    store_big_u16(head + 14, source.port);
-    store_big_u32(head + 16, source.address);
-    store_big_u32(head + 20, target.address);
-    store_big_u32(head + 24, sequence);
-    store_big_u32(head + 28, acknowledgement);
-    return bytes;
-}
-
 SteeringFleet::SteeringFleet(std::uint64_t seed)
     : m_seed(seed)
     , m_codec(platform::packetCodec())
@@ -333,10 +310,7 @@
     const FlowKey &key = segment.flow;
     const bool holds = upstream.flows.contains(key);
     if ((segment.opens && upstream.full && !holds) || (!segment.opens && !holds)) {
-        PacketBytes returned = bytes;
-        returned[10] = static_cast<char>(returned[10] | Bounced);
-        returned[11] = '\0';
-        fromUpstream(index, std::move(returned));
+        fromUpstream(index, standins::returned(bytes));
         return;
     }
     if (segment.opens) {
@@ -374,7 +348,8 @@
     --upstream.running;
     if (!upstream.dead) {
         fromUpstream(index,
-                     makePacket(key, false, Ack, upstream.startSequence + 1, 0, AnswerBytes));
+                     makePacket(key, false, Ack, upstream.startSequence + 1, 0,
+                                std::string(AnswerBytes, 'a')));
     }
     startNext(index);
 }
@@ -458,7 +433,9 @@
     constexpr std::size_t RequestBytes = 100;
     CallerFlow &flow = m_callers[index];
     flow.answered = false;
-    fromCaller(index, makePacket(flow.key, true, Ack, 2, flow.upstreamSequence + 1, RequestBytes));
+    fromCaller(index,
+               makePacket(flow.key, true, Ack, 2, flow.upstreamSequence + 1,
+                          std::string(RequestBytes, 'r')));
 }
 
 std::size_t SteeringFleet::upstreamOf(std::size_t index) const
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -5,21 +5,19 @@
 #include <bergamotglade/detail/steering/agent_steering.hpp>
 #include <bergamotglade/detail/steering/balancer_steering.hpp>
 
+#include <packets.hpp>
+
 #include <queue>
 #include <set>
 
 namespace bergamotglade::tests {
 
-/// A caller's packet in the fixture's own hands; written through the platform's layout.
-PacketBytes makePacket(const FlowKey &flow, bool fromCaller, std::uint8_t flags,
-                       std::uint32_t sequence, std::uint32_t acknowledgement,
-                       std::size_t dataBytes = 0);
-
-inline constexpr std::uint8_t Syn = 128;
-inline constexpr std::uint8_t Ack = 1;
-inline constexpr std::uint8_t Fin = 4;
-inline constexpr std::uint8_t Rst = 64;
-inline constexpr std::uint8_t Bounced = 32;
+using standins::Ack;
+using standins::Bounced;
+using standins::Fin;
+using standins::makePacket;
+using standins::Rst;
+using standins::Syn;
 
 /// What became of one caller's flow.
 struct CallerFlow
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -92,13 +92,13 @@
 {
     const PacketCodec codec = platform::packetCodec();
     const FlowKey flow {{1, 2}, {3, 4}};
-    const PacketBytes good = makePacket(flow, true, Ack, 1, 2, 100);
+    const PacketBytes good = makePacket(flow, true, Ack, 1, 2, std::string(100, 'd'));
     EXPECT_TRUE(codec.fromCaller(good));
     EXPECT_FALSE(codec.fromCaller(good.substr(0, 31)));
     EXPECT_FALSE(codec.fromCaller(good.substr(0, 131)));
     EXPECT_FALSE(codec.fromCaller(good + 'x'));
-    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack, 1, 2, 1201)));
-    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack | Bounced, 1, 2, 0)));
+    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack, 1, 2, std::string(1201, 'd'))));
+    EXPECT_FALSE(codec.fromCaller(makePacket(flow, true, Ack | Bounced, 1, 2)));
     EXPECT_FALSE(codec.fromCaller(""));
 }
 
@@ -132,7 +132,7 @@
     } else {
         trail.position = position;
     }
-    const PacketBytes before = makePacket(flow, true, plain, 9, 10, 50);
+    const PacketBytes before = makePacket(flow, true, plain, 9, 10, std::string(50, 'd'));
     PacketBytes after = before;
     codec.setTrail(after, flow, trail);
     RC_ASSERT(codec.fromCaller(after).value().trail == trail);
@@ -144,7 +144,7 @@
         RC_ASSERT(ours || before[i] == after[i]);
     }
     // A trail of another flow, or zeros of an end, count for nothing.
-    PacketBytes other = makePacket({{8, port}, {3, 4}}, true, plain, 9, 10, 50);
+    PacketBytes other = makePacket({{8, port}, {3, 4}}, true, plain, 9, 10, std::string(50, 'd'));
     std::copy(after.begin() + 6, after.begin() + 10, other.begin() + 6);
     RC_ASSERT(codec.fromCaller(before).value().trail == Trail {});
 }
--- a/tools/scenario/child_process.cpp
+++ b/tools/scenario/child_process.cpp
@@ -19,6 +19,8 @@
 constexpr Millis ReadyTimeout {15'000};
 constexpr Millis PollInterval {5};
 constexpr int SignalBase = 128;
+/// Steering processes tell their start in the log; their addresses are given to them.
+constexpr std::string_view StartedEvent = R"("event":"started")";
 
 /// Reads one line of a pipe, or what came until the timeout.
 std::string readLine(int fd)
@@ -76,7 +78,10 @@
     // Log lines may come first.
     std::string line;
     constexpr int LinesMax = 20;
-    for (int i = 0; i < LinesMax && !line.starts_with("ready "); ++i) {
+    const auto tellsReady = [&] {
+        return line.starts_with("ready ") || line.find(StartedEvent) != std::string::npos;
+    };
+    for (int i = 0; i < LinesMax && !tellsReady(); ++i) {
         line = readLine(pipeEnds[0]);
     }
     // The reading end stays open in a thread of its own, so that the child's output never blocks.
@@ -92,10 +97,12 @@
         close(fd);
     }).detach();
     const auto endpoint = Endpoint::parse(line.substr(line.find(' ') + 1));
-    if (!line.starts_with("ready ") || !endpoint) {
+    if (!tellsReady() || (line.starts_with("ready ") && !endpoint)) {
         return Error {ErrorCode::Io, program + " did not become ready; see " + logFile};
     }
-    child->m_endpoint = endpoint.value();
+    if (endpoint) {
+        child->m_endpoint = endpoint.value();
+    }
     return child;
 }
 
