--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -17,6 +17,12 @@
     Moved, ///< offered to another agent
 };
 
+/// @brief Whether the upstream has the flow, or is about to.
+[[nodiscard]] constexpr bool isOpen(FlowStage stage) noexcept
+{
+    return stage == FlowStage::Offered || stage == FlowStage::Accepted || stage == FlowStage::Open;
+}
+
 struct OwnedFlow
 {
     FlowStage stage = FlowStage::Offered;
--- a/tools/soak/ends.cpp
+++ b/tools/soak/ends.cpp
@@ -2,9 +2,7 @@
 
 #include <packet_codec.hpp>
 
-#include <nlohmann/json.hpp>
-
-#include <charconv>
+#include <store_values.hpp>
 
 namespace bergamotglade::soak {
 
@@ -66,12 +64,7 @@
 
 std::string SoakUpstream::entry() const
 {
-    return nlohmann::json {{"service", m_service},   {"address", m_local.str()},
-                           {"zone", m_domain},       {"version", "v1"},
-                           {"slots", SlotsShown},    {"state", draining ? "draining" : "ready"},
-                           {"cold_remaining_ms", 0}, {"sequence", 1},
-                           {"born", m_life}}
-        .dump();
+    return standins::hostValue({m_service, m_local, m_domain, SlotsShown, draining, m_life});
 }
 
 void SoakUpstream::send(const PacketBytes &bytes)
--- a/tools/soak/glade-soak.cpp
+++ b/tools/soak/glade-soak.cpp
@@ -4,9 +4,9 @@
 #include "ends.hpp"
 
 #include <store.hpp>
+#include <store_values.hpp>
 
 #include <gflags/gflags.h>
-#include <nlohmann/json.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -118,22 +118,8 @@
 
     void publishRoutes()
     {
-        using nlohmann::json;
-        const auto route = [](const Endpoint &at, const char *service) {
-            return json {{"name", service},
-                         {"hostname", at.str().substr(0, at.str().find(':'))},
-                         {"prefix", "/" + std::to_string(at.port) + "/"},
-                         {"service", service},
-                         {"target_latency_ms", 300},
-                         {"priority", 1}};
-        };
-        ++m_version;
-        json routes = json::array({route(KitsRoute, "kits"), route(DocsRoute, "docs")});
         m_store.put("op/config",
-                    json {{"version", m_version},
-                          {"routes", routes},
-                          {"services", json::array({{{"name", "kits"}}, {{"name", "docs"}}})}}
-                        .dump());
+                    standins::configValue(++m_version, {{KitsRoute, "kits"}, {DocsRoute, "docs"}}));
     }
 
     Result<void> start(Machine &machine)
