--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -356,7 +356,7 @@
 
 void SteeringFleet::fromUpstream(std::size_t index, PacketBytes bytes)
 {
-    after(Millis(0), [this, index, bytes = std::move(bytes)] {
+    after(m_upstreams[index].answerDelay, [this, index, bytes = std::move(bytes)] {
         if (!deadAgents.contains(index)) {
             atAgent([this, index, bytes] {
                 const Segment segment = m_codec.fromUpstream(bytes).value();
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -42,6 +42,7 @@
     FailureDomainId domain;
     std::uint32_t slots = 4;
     Millis work {20};
+    Millis answerDelay {}; ///< of every packet that it sends
     bool dead = false; ///< answers nothing
     bool full = false; ///< takes no new flows
     std::uint32_t startSequence = 0;
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -389,6 +389,9 @@
         flows.push_back(fleet.openFlow(0, true));
     }
     fleet.runFor(Millis(100));
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.upstream(i).answerDelay = Millis(10);
+    }
     // Requests and new flows are at the upstreams when the agents stop; the answers wait.
     for (const std::size_t flow : flows) {
         fleet.request(flow);
@@ -396,7 +399,7 @@
     for (int i = 0; i < 6; ++i) {
         fleet.openFlow(0);
     }
-    fleet.runFor(Millis(2));
+    fleet.runFor(Millis(4));
     fleet.freezeAgents();
     fleet.runFor(Millis(4000));
     fleet.thawAgents();
