One piece of code for what the change wrote twice

The slot of a request was freed in four places, the timers of offers begun anew in two, a token bucket stood beside RateLimit in the stand-in platform, the soak spelt a request's text three times and had an unused function; LoadBoard averaged all peers for every estimate, also where the peer had measured its own time; the queue of openings lay below the layer that it includes, the JSON guard above the one that includes it. Change: clearBusy, restartOffers, RateLimit, requestPrefix; files moved to steering/ and core/.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -3,9 +3,9 @@
 #pragma once
 
 #include <bergamotglade/detail/admission/load_board.hpp>
-#include <bergamotglade/detail/admission/opening_queue.hpp>
 #include <bergamotglade/detail/admission/rate_limit.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/opening_queue.hpp>
 #include <bergamotglade/detail/steering/owned_flow.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
@@ -170,6 +170,8 @@
     void reset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
                Instant now);
     void setBusy(OwnedFlow &flow, bool busy, Instant now);
+    /// @brief Frees the slot of a request whose end nobody saw: its time says nothing.
+    void clearBusy(OwnedFlow &flow);
     void onUpstreamHeard(Instant now);
     void onPause(Instant now);
     void checkOffers(Instant now);
--- a/include/bergamotglade/detail/steering/segment.hpp
+++ b/include/bergamotglade/detail/steering/segment.hpp
@@ -50,6 +50,21 @@
     Instant at;
 };
 
+/// @brief Lets the timers of offers begin anew, after a pause of the process.
+/// @param offers the timers
+/// @param flows the flows by key, with the time of their offer in `offeredAt`
+template <typename Offers, typename Flows>
+void restartOffers(Offers &offers, Flows &flows, Instant now)
+{
+    for (TimedFlow &entry : offers) {
+        const auto found = flows.find(entry.flow);
+        if (found != flows.end() && found->second.offeredAt == entry.at) {
+            found->second.offeredAt = now;
+            entry.at = now;
+        }
+    }
+}
+
 /// Bytes of one packet as received.
 using PacketBytes = std::string;
 
--- a/src/admission/load_board.cpp
+++ b/src/admission/load_board.cpp
@@ -107,7 +107,9 @@
         unknown.serviceTimeMs = usualTimeMs(now);
         return unknown;
     }
-    return estimateOf(found->second, usualTimeMs(now), now);
+    // Only a peer that has not measured its own time needs that of the others.
+    const bool measured = found->second.report.serviceTimeMs != 0;
+    return estimateOf(found->second, measured ? 0 : usualTimeMs(now), now);
 }
 
 Instant LoadBoard::heardAt(const Endpoint &peer) const
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -19,6 +19,16 @@
 /// Rounds in which only the readers are asked, between two that ask a random peer too.
 constexpr std::uint64_t RoundsPerRandomPeer = 4;
 
+/// The batch of a platform that was away: what it lacks may come back at once.
+ChangeBatch withLapses(ChangeBatch batch)
+{
+    batch.lapses = true;
+    for (SectionChange &change : batch.changes) {
+        change.lapsed = change.removed;
+    }
+    return batch;
+}
+
 } // namespace
 
 Dissemination::Dissemination(DisseminationSettings settings, DisseminationHooks hooks,
@@ -33,20 +43,6 @@
     , m_listRetry(ListRetryMin)
 { }
 
-namespace {
-
-/// The batch of a platform that was away: what it lacks may come back at once.
-ChangeBatch withLapses(ChangeBatch batch)
-{
-    batch.lapses = true;
-    for (SectionChange &change : batch.changes) {
-        change.lapsed = change.removed;
-    }
-    return batch;
-}
-
-} // namespace
-
 void Dissemination::start(Instant now)
 {
     m_started = now;
--- a/src/net/json_codec.cpp
+++ b/src/net/json_codec.cpp
@@ -1,6 +1,6 @@
 #include <bergamotglade/detail/net/json_codec.hpp>
 
-#include <bergamotglade/detail/net/json_guard.hpp>
+#include <bergamotglade/detail/core/json_guard.hpp>
 
 namespace bergamotglade {
 
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -233,14 +233,22 @@
     if (flow.busy == busy) {
         return;
     }
-    flow.busy = busy;
     if (busy) {
+        flow.busy = true;
         flow.busySince = now;
         ++m_busy;
         return;
     }
-    --m_busy;
     smooth(m_serviceTimeMs, now - flow.busySince);
+    clearBusy(flow);
+}
+
+void AgentSteering::clearBusy(OwnedFlow &flow)
+{
+    if (flow.busy) {
+        flow.busy = false;
+        --m_busy;
+    }
 }
 
 void AgentSteering::setWaiting(OwnedFlow &flow, bool waiting)
@@ -257,9 +265,7 @@
     if (found == m_flows.end()) {
         return;
     }
-    if (found->second.busy) {
-        --m_busy;
-    }
+    clearBusy(found->second);
     setWaiting(found->second, false);
     m_flows.erase(found);
 }
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -32,13 +32,7 @@
 {
     // The upstream's answers wait in the socket.
     m_unanswered = 0;
-    for (TimedFlow &entry : m_offered) {
-        const auto found = m_flows.find(entry.flow);
-        if (found != m_flows.end() && found->second.offeredAt == entry.at) {
-            found->second.offeredAt = now;
-            entry.at = now;
-        }
-    }
+    restartOffers(m_offered, m_flows, now);
 }
 
 void AgentSteering::checkOffers(Instant now)
@@ -130,10 +124,7 @@
         note("upstream restarted", "its entry names a new life", {}, m_settings.upstream, now);
         for (auto &[key, flow] : m_flows) {
             setWaiting(flow, false);
-            if (flow.busy) {
-                flow.busy = false;
-                --m_busy;
-            }
+            clearBusy(flow);
         }
     }
 }
@@ -149,9 +140,8 @@
         }
         OwnedFlow &flow = found->second;
         const bool ended = flow.stage == FlowStage::Ended;
-        if (flow.busy && now - flow.seen > m_settings.busyTimeout) {
-            flow.busy = false;
-            --m_busy;
+        if (now - flow.seen > m_settings.busyTimeout) {
+            clearBusy(flow);
         }
         if (now - flow.seen > (ended ? m_settings.endedLinger : m_settings.idle)) {
             drop(key);
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -307,13 +307,7 @@
 void BalancerSteering::onPause(Instant now)
 {
     // Callers' next packets wait in the socket.
-    for (TimedFlow &entry : m_offered) {
-        const auto found = m_flows.find(entry.flow);
-        if (found != m_flows.end() && found->second.offeredAt == entry.at) {
-            found->second.offeredAt = now;
-            entry.at = now;
-        }
-    }
+    restartOffers(m_offered, m_flows, now);
 }
 
 void BalancerSteering::checkOffers(Instant now)
--- a/src/admission/opening_queue.cpp
+++ b/src/steering/opening_queue.cpp
@@ -1,4 +1,4 @@
-#include <bergamotglade/detail/admission/opening_queue.hpp>
+#include <bergamotglade/detail/steering/opening_queue.hpp>
 
 #include <algorithm>
 
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -16,8 +16,7 @@
     : m_io(io)
     , m_settings(settings)
     , m_timer(io)
-    , m_tokens(settings.callsPerSecond)
-    , m_tokensAt(Clock::now())
+    , m_rate(settings.callsPerSecond)
 { }
 
 Result<Endpoint> Platform::start()
@@ -37,19 +36,10 @@
 
 bool Platform::takeCall()
 {
-    constexpr double MillisPerSecond = 1000;
-    const Instant now = Clock::now();
-    const double gained = static_cast<double>((now - m_tokensAt).count())
-        * m_settings.callsPerSecond / MillisPerSecond;
-    m_tokens = std::min(m_settings.callsPerSecond, m_tokens + gained);
-    m_tokensAt = now;
     ++m_calls;
-    if (m_tokens < 1) {
-        ++m_limited;
-        return false;
-    }
-    m_tokens -= 1;
-    return true;
+    const bool admitted = m_rate.admit(m_settings.callsPerSecond, Clock::now());
+    m_limited += admitted ? 0 : 1;
+    return admitted;
 }
 
 void Platform::onRequest(const HttpRequest &request, HttpResponder respond,
--- a/standins/platform.hpp
+++ b/standins/platform.hpp
@@ -2,6 +2,7 @@
 /// Stand-in for the platform: values with revisions, a watch, a lagging VM list, a call limit.
 #pragma once
 
+#include <bergamotglade/detail/admission/rate_limit.hpp>
 #include <bergamotglade/detail/config/store.hpp>
 #include <bergamotglade/detail/net/http.hpp>
 
@@ -73,8 +74,7 @@
     bool m_down = false;
     std::list<Watch> m_watches;
     std::vector<VmList> m_vmLists;
-    double m_tokens = 0;
-    Instant m_tokensAt;
+    RateLimit m_rate;
     std::uint64_t m_calls = 0;
     std::uint64_t m_limited = 0;
 };
--- a/tools/soak/ends.cpp
+++ b/tools/soak/ends.cpp
@@ -23,6 +23,14 @@
     return Instance;
 }
 
+/// Service and connection that a request names; its number follows.
+std::string requestPrefix(const FlowKey &flow)
+{
+    constexpr std::uint16_t KitsPort = 443;
+    const std::string service = flow.service.port == KitsPort ? "kits" : "docs";
+    return service + " " + std::to_string(flow.caller.port) + " ";
+}
+
 } // namespace
 
 SoakUpstream::SoakUpstream(boost::asio::io_context &io, const Machine &machine, std::string service,
@@ -187,11 +195,9 @@
                        standins::makePacket(flow.key, true, standins::Syn, 1, flow.copies));
         return;
     }
-    const std::string service = flow.key.service.port == 443 ? "kits" : "docs";
     m_socket->send(balancer,
                    standins::makePacket(flow.key, true, standins::Ack, 2, flow.upstreamSequence + 1,
-                                        service + " " + std::to_string(flow.key.caller.port) + " "
-                                            + std::to_string(flow.requests)));
+                                        requestPrefix(flow.key) + std::to_string(flow.requests)));
 }
 
 void SoakCaller::onPacket(std::string_view bytes)
@@ -218,13 +224,10 @@
         }
     } else if (segment.dataBytes > 0 && flow.waits) {
         const std::string answer(standins::dataOf(bytes));
-        const std::string service = flow.key.service.port == 443 ? "kits" : "docs";
-        const std::string expected = "answer to " + service + " "
-            + std::to_string(flow.key.caller.port) + " " + std::to_string(flow.requests);
-        if (answer == expected) {
+        const std::string prefix = "answer to " + requestPrefix(flow.key);
+        if (answer == prefix + std::to_string(flow.requests)) {
             finish(flow, true);
-        } else if (!answer.starts_with("answer to " + service + " "
-                                       + std::to_string(flow.key.caller.port) + " ")) {
+        } else if (!answer.starts_with(prefix)) {
             m_breach("an answer belongs to another request: " + answer);
         }
     }
@@ -262,13 +265,4 @@
     }
 }
 
-std::size_t SoakCaller::waiting() const
-{
-    std::size_t count = 0;
-    for (const auto &[port, flow] : m_flows) {
-        count += flow.waits ? 1 : 0;
-    }
-    return count;
-}
-
 } // namespace bergamotglade::soak
--- a/tools/soak/ends.hpp
+++ b/tools/soak/ends.hpp
@@ -92,7 +92,6 @@
     void request(const Endpoint &service, Instant now);
     void onTick(Instant now);
     [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
-    [[nodiscard]] std::size_t waiting() const;
 
 private:
     struct Flow
