The process starts and stops its role; steering's roles share reading and readiness

Change: ProcessHooks carries start and stop, Process::setHooks registers them; SteeringRuntime::read and isConfirmed. No behaviour changes.

--- a/src/daemon/balancer.cpp
+++ b/src/daemon/balancer.cpp
@@ -28,11 +28,13 @@
 
     ExitCode run()
     {
-        m_process.supervisor().add({"loop", [this] { return start(); },
-                                    [this] {
-                                        stop();
-                                    }});
         ProcessHooks hooks;
+        hooks.start = [this] {
+            return start();
+        };
+        hooks.stop = [this] {
+            stop();
+        };
         hooks.onTick = [this](Instant now) {
             m_plane->onTick(now);
         };
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -25,6 +25,12 @@
     , m_tickInterval(tickInterval)
 { }
 
+void Process::setHooks(ProcessHooks hooks)
+{
+    m_hooks = std::move(hooks);
+    m_supervisor.add({LoopName, m_hooks.start, m_hooks.stop});
+}
+
 ExitCode Process::run()
 {
     const auto started = m_supervisor.start();
--- a/src/daemon/process.hpp
+++ b/src/daemon/process.hpp
@@ -24,6 +24,9 @@
 /// What a role gives to its process.
 struct ProcessHooks
 {
+    /// Opens what the role needs; called again when the role has failed.
+    std::function<Result<void>()> start;
+    std::function<void()> stop;
     std::function<void(Instant)> onTick;
     /// Asked to stop gracefully.
     std::function<void(Instant)> onStop;
@@ -40,8 +43,8 @@
     explicit Process(Millis stopTimeout, Millis tickInterval = TickInterval);
 
     [[nodiscard]] boost::asio::io_context &io() noexcept { return m_io; }
-    [[nodiscard]] Supervisor &supervisor() noexcept { return m_supervisor; }
-    void setHooks(ProcessHooks hooks) { m_hooks = std::move(hooks); }
+    /// @brief Puts the role under the supervisor.
+    void setHooks(ProcessHooks hooks);
     /// @brief Takes over what can change while running, unless the settings have errors.
     template <typename Settings>
     void reload(const Checked<Settings> &checked)
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -24,11 +24,13 @@
 
     ExitCode run()
     {
-        m_process.supervisor().add({"loop", [this] { return start(); },
-                                    [this] {
-                                        stop();
-                                    }});
         ProcessHooks hooks;
+        hooks.start = [this] {
+            return start();
+        };
+        hooks.stop = [this] {
+            stop();
+        };
         hooks.onTick = [this](Instant now) {
             m_runtime->onTick(now);
             m_steering->onTick(now);
@@ -52,19 +54,15 @@
     {
         SteeringRuntimeHooks hooks;
         hooks.onPacket = [this](const Endpoint &from, std::string_view bytes) {
-            const auto segment = m_adapter.packets.fromCaller(bytes);
-            if (!segment) {
-                m_runtime->countBadPacket(segment.error());
-                return;
+            if (const auto segment = m_runtime->read(m_adapter.packets.fromCaller, bytes)) {
+                m_steering->onCallerPacket(*segment, PacketBytes(bytes), from, Clock::now());
             }
-            m_steering->onCallerPacket(segment.value(), PacketBytes(bytes), from, Clock::now());
         };
         hooks.onLoadReport = [this](const LoadReport &report) {
             m_steering->onLoadReport(report, Clock::now());
         };
         hooks.isReady = [this] {
-            return !m_stopping && m_runtime->directory().hasRoutes()
-                && m_runtime->plane().dissemination().isReady(Clock::now());
+            return !m_stopping && m_runtime->isConfirmed(Clock::now());
         };
         hooks.addStatus = [this](nlohmann::json &status) {
             status["role"] = "agent";
@@ -133,12 +131,9 @@
 
     void onUpstreamBytes(std::string_view bytes)
     {
-        const auto segment = m_adapter.packets.fromUpstream(bytes);
-        if (!segment) {
-            m_runtime->countBadPacket(segment.error());
-            return;
+        if (const auto segment = m_runtime->read(m_adapter.packets.fromUpstream, bytes)) {
+            m_steering->onUpstreamPacket(*segment, PacketBytes(bytes), Clock::now());
         }
-        m_steering->onUpstreamPacket(segment.value(), PacketBytes(bytes), Clock::now());
     }
 
     void stop()
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -28,11 +28,13 @@
 
     ExitCode run()
     {
-        m_process.supervisor().add({"loop", [this] { return start(); },
-                                    [this] {
-                                        stop();
-                                    }});
         ProcessHooks hooks;
+        hooks.start = [this] {
+            return start();
+        };
+        hooks.stop = [this] {
+            stop();
+        };
         hooks.onTick = [this](Instant now) {
             m_runtime->onTick(now);
             m_steering->onTick(now);
@@ -56,12 +58,9 @@
     {
         SteeringRuntimeHooks hooks;
         hooks.onPacket = [this](const Endpoint & /*from*/, std::string_view bytes) {
-            const auto segment = m_adapter.packets.fromCaller(bytes);
-            if (!segment) {
-                m_runtime->countBadPacket(segment.error());
-                return;
+            if (const auto segment = m_runtime->read(m_adapter.packets.fromCaller, bytes)) {
+                m_steering->onPacket(*segment, PacketBytes(bytes), Clock::now());
             }
-            m_steering->onPacket(segment.value(), PacketBytes(bytes), Clock::now());
         };
         hooks.onLoadReport = [this](const LoadReport &report) {
             m_steering->onLoadReport(report, Clock::now());
@@ -72,9 +71,8 @@
         hooks.isReady = [this] {
             // A balancer that is cut off would swallow its callers' packets.
             const Instant now = Clock::now();
-            const Dissemination &spread = m_runtime->plane().dissemination();
-            return !m_stopping && m_runtime->directory().hasRoutes() && spread.isReady(now)
-                && spread.isConnected(now);
+            return !m_stopping && m_runtime->isConfirmed(now)
+                && m_runtime->plane().dissemination().isConnected(now);
         };
         hooks.addStatus = [](nlohmann::json &status) {
             status["role"] = "balancer";
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -234,6 +234,23 @@
     };
 }
 
+bool SteeringRuntime::isConfirmed(Instant now) const
+{
+    return m_directory.hasRoutes() && m_plane->dissemination().isReady(now);
+}
+
+std::optional<Segment>
+SteeringRuntime::read(const std::function<Result<Segment>(std::string_view)> &decode,
+                      std::string_view bytes)
+{
+    auto segment = decode(bytes);
+    if (!segment) {
+        countBadPacket(segment.error());
+        return std::nullopt;
+    }
+    return std::move(segment.value());
+}
+
 void SteeringRuntime::countBadPacket(const Error &error)
 {
     ++m_badPackets;
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -8,6 +8,8 @@
 #include <bergamotglade/detail/steering/directory.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
+#include <optional>
+
 namespace bergamotglade {
 
 struct SteeringRuntimeHooks
@@ -43,13 +45,18 @@
     void sendReport(const Endpoint &process, const LoadReport &report);
     void sendLocation(const Endpoint &process, const FlowLocated &located);
     [[nodiscard]] SteeringLog log() const;
-    void countBadPacket(const Error &error);
+    /// @brief Whether routes are known and confirmed.
+    [[nodiscard]] bool isConfirmed(Instant now) const;
+    /// @brief Reads a packet; one that cannot be read is counted and logged once in a while.
+    std::optional<Segment> read(const std::function<Result<Segment>(std::string_view)> &decode,
+                                std::string_view bytes);
 
 private:
     SteeringRuntime(const CommonSettings &common, const SteeringDaemonSettings &steering,
                     SteeringRuntimeHooks hooks);
     Result<void> start(boost::asio::io_context &io, const PlatformAdapter &adapter);
     ControlPlaneHooks controlHooks();
+    void countBadPacket(const Error &error);
     void onLoadReport(const LoadReport &report);
     void onDirectoryChange();
     [[nodiscard]] Endpoint controlOf(const Endpoint &agent) const;
