--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -248,7 +248,7 @@
         countBadPacket(segment.error());
         return std::nullopt;
     }
-    return std::move(segment.value());
+    return segment.value();
 }
 
 void SteeringRuntime::countBadPacket(const Error &error)
