Notice upstreams that break off their flows; take flows that are handed back

The test of it showed a second fault: an agent took a flow that another agent handed back for a copy and sent it after its own note, so it went round until the caller's copy. Ruled out: resets of our own (none in the logs but for routes that are not there); silent upstreams (they answer). Change: OutcomeTracker smooths the share of requests that end without an answer; a failing upstream gets probes only, unless all others are in doubt too. Balancers let a flow through at the end of each doubt. An opening that comes back with more hops than its note is new. Tests, red before: SteeringFailures.AnUpstreamThatResetsItsFlowsGetsOnlyProbes (48 resets against 16), UpstreamsThatAllResetTheirFlowsStayInUse (299 of 300 openings, from the second fault).

--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -47,8 +47,8 @@
     double limit = 0; ///< requests that the upstream bears at once
     std::uint32_t serviceTimeMs = 0; ///< smoothed; 0 where unknown
     bool draining = false;
-    /// The upstream leaves packets unanswered.
-    bool silentUpstream = false;
+    /// The upstream leaves packets unanswered or breaks off its flows.
+    bool failingUpstream = false;
 };
 
 /// The owner of a steered flow names itself after packets reached it by a detour.
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -6,6 +6,7 @@
 #include <bergamotglade/detail/admission/rate_limit.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
 #include <bergamotglade/detail/steering/opening_queue.hpp>
+#include <bergamotglade/detail/steering/outcome_tracker.hpp>
 #include <bergamotglade/detail/steering/owned_flow.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
@@ -94,6 +95,7 @@
     std::uint64_t silent = 0;
     std::uint64_t toCallers = 0;
     std::uint64_t upstreamSilences = 0;
+    std::uint64_t brokenOff = 0; ///< requests that the upstream ended without an answer
 };
 
 struct AgentSteeringHooks
@@ -151,8 +153,11 @@
     void onContinuation(const Segment &segment, PacketBytes bytes, Instant now);
     void handleUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onReturned(const Segment &segment, PacketBytes bytes, Instant now);
-    [[nodiscard]] std::string_view whyNotHere(const RouteEntry &route, Instant now);
+    [[nodiscard]] std::string_view whyNotHere(const RouteEntry &route, const Trail &trail,
+                                              Instant now);
     [[nodiscard]] bool coldAdmits(Instant now);
+    [[nodiscard]] std::vector<Endpoint> otherTakers(const RouteEntry &route) const;
+    void onOutcome(bool answered, Instant now);
     [[nodiscard]] bool isFull() const;
     [[nodiscard]] bool isSuspect(Instant now) const;
     [[nodiscard]] bool takesProbe(Instant now);
@@ -200,6 +205,7 @@
     LoadBoard m_board;
     RateLimit m_coldLimit;
     OpeningQueue m_queue;
+    OutcomeTracker m_outcomes;
     std::unordered_map<FlowKey, OwnedFlow> m_flows;
     std::deque<FlowKey> m_sweep;
     std::deque<TimedFlow> m_offered; ///< flows given to the upstream, oldest first
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -165,6 +165,8 @@
         metrics.count("silent", "Packets dropped without an answer", c.silent);
         metrics.count("upstream_silences", "Times that the upstream stopped answering",
                       c.upstreamSilences);
+        metrics.count("broken_off", "Requests that the upstream ended without an answer",
+                      c.brokenOff);
         metrics.gauge("flows", "Flows held",
                       [this] { return static_cast<double>(m_steering->flowCount()); });
         metrics.gauge("running", "Requests that wait for the upstream",
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -141,7 +141,7 @@
 
 void SteeringRuntime::onLoadReport(const LoadReport &report)
 {
-    const bool serves = !report.draining && !report.silentUpstream;
+    const bool serves = !report.draining && !report.failingUpstream;
     if (serves && report.upstream != Endpoint()) {
         const Announcement announcement {report.service, report.domain, report.sender,
                                          report.upstream, static_cast<std::uint32_t>(report.limit)};
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -210,7 +210,7 @@
     report.limit = in.real();
     report.serviceTimeMs = static_cast<std::uint32_t>(in.number());
     report.draining = in.flag();
-    report.silentUpstream = in.flag();
+    report.failingUpstream = in.flag();
     return report;
 }
 
@@ -359,7 +359,7 @@
     out.endpoint(report.sender).number(report.incarnation.value()).bytes(report.service.str());
     out.bytes(report.domain.str()).endpoint(report.upstream);
     out.number(report.running).number(report.queued).real(report.limit);
-    out.number(report.serviceTimeMs).flag(report.draining).flag(report.silentUpstream);
+    out.number(report.serviceTimeMs).flag(report.draining).flag(report.failingUpstream);
     return out.take();
 }
 
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -185,6 +185,9 @@
             m_accepted.push_back({segment.flow, now});
         }
     }
+    if (flow.busy && (segment.dataBytes > 0 || segment.resets)) {
+        onOutcome(segment.dataBytes > 0, now);
+    }
     if (segment.dataBytes > 0) {
         setBusy(flow, false, now);
     }
@@ -217,6 +220,17 @@
     m_nextReport = now;
 }
 
+void AgentSteering::onOutcome(bool answered, Instant now)
+{
+    m_counters.brokenOff += answered ? 0 : 1;
+    if (m_outcomes.onOutcome(answered, now)) {
+        m_nextReport = now;
+        note(m_outcomes.isFailing() ? "upstream is failing" : "upstream works again",
+             m_outcomes.isFailing() ? "it broke off its last flows" : "it answers again", {},
+             m_settings.upstream, now);
+    }
+}
+
 void AgentSteering::onUpstreamHeard(Instant now)
 {
     m_unanswered = 0;
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -18,7 +18,8 @@
     if (now < m_nextReport && !atOnce) {
         return;
     }
-    const bool calm = load(now).use() < m_settings.calmUse && !m_silent && !m_stopping;
+    const bool calm =
+        load(now).use() < m_settings.calmUse && !m_silent && !m_outcomes.isFailing() && !m_stopping;
     m_nextReport = now + (calm ? m_settings.calmReportInterval : m_settings.reportInterval);
     std::erase_if(m_senders,
                   [&](const auto &s) { return now - s.second.seen > m_settings.reportMemory; });
@@ -73,7 +74,7 @@
     const bool gone =
         m_directory.isSettled(now) && m_directory.upstreamAt(m_settings.upstream) == nullptr;
     report.draining = m_stopping || gone;
-    report.silentUpstream = m_silent;
+    report.failingUpstream = m_silent || m_outcomes.isFailing();
     return report;
 }
 
@@ -116,7 +117,7 @@
 {
     if (report.service == m_settings.service) {
         LoadReport known = report;
-        known.draining |= report.silentUpstream;
+        known.draining |= report.failingUpstream;
         m_board.onReport(known, now);
     }
 }
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -44,7 +44,12 @@
         deliver(bytes, now);
         return;
     }
-    const bool moved = known != m_flows.end() && known->second.stage == FlowStage::Moved;
+    bool moved = known != m_flows.end() && known->second.stage == FlowStage::Moved;
+    if (moved && segment.trail.hops > known->second.trail.hops) {
+        // Not a copy: the other agent has handed the flow back.
+        drop(segment.flow);
+        moved = false;
+    }
     if (moved && m_board.heardAt(known->second.movedTo) > known->second.offeredAt) {
         // A copy of a flow that waits at the other agent.
         follow(known->second.movedTo, segment, std::move(bytes), now);
@@ -60,7 +65,7 @@
         reportTo(from, now);
         return;
     }
-    const std::string_view reason = whyNotHere(*route, now);
+    const std::string_view reason = whyNotHere(*route, segment.trail, now);
     if (!reason.empty()) {
         handOn(segment.flow, std::move(bytes), segment.trail, reason, segment.acknowledgement, now);
         return;
@@ -86,7 +91,7 @@
     enqueue(segment, std::move(bytes), *route, now);
 }
 
-std::string_view AgentSteering::whyNotHere(const RouteEntry &route, Instant now)
+std::string_view AgentSteering::whyNotHere(const RouteEntry &route, const Trail &trail, Instant now)
 {
     if (!Directory::allows(route, m_settings.service)) {
         return "service is not of the route";
@@ -114,6 +119,11 @@
         m_probeAt = now + m_settings.probeInterval;
         return {};
     }
+    // Where every upstream is in doubt, none is.
+    const bool mayLeave = trail.hops < m_settings.hopsMax && !otherTakers(route).empty();
+    if (m_outcomes.isFailing() && mayLeave && !m_outcomes.takeProbe(now)) {
+        return "upstream breaks off its flows";
+    }
     return {};
 }
 
@@ -193,7 +203,8 @@
     while (!m_queue.empty()) {
         QueuedOpening next = *m_queue.pop(now);
         const RouteEntry *route = m_directory.routeAt(next.flow.service);
-        std::string_view reason = route == nullptr ? "no route" : whyNotHere(*route, now);
+        std::string_view reason =
+            route == nullptr ? "no route" : whyNotHere(*route, next.trail, now);
         if (reason.empty() && !isFull() && coldAdmits(now)) {
             take(next.flow, next.trail, next.bytes, now);
             continue;
@@ -230,19 +241,26 @@
     deliver(bytes, now);
 }
 
+std::vector<Endpoint> AgentSteering::otherTakers(const RouteEntry &route) const
+{
+    std::vector<Endpoint> agents;
+    for (const auto &[id, known] : m_directory.upstreams()) {
+        if (known.entry.agent != m_settings.self && m_directory.takesFlows(known)
+            && Directory::allows(route, known.entry.service)
+            && !m_board.isDraining(known.entry.agent)) {
+            agents.push_back(known.entry.agent);
+        }
+    }
+    return agents;
+}
+
 void AgentSteering::handOn(const FlowKey &key, PacketBytes bytes, Trail trail,
                            std::string_view reason, std::uint32_t acknowledgement, Instant now)
 {
     const RouteEntry *route = m_directory.routeAt(key.service);
     std::vector<Endpoint> others;
     if (route != nullptr && trail.hops < m_settings.hopsMax) {
-        for (const auto &[id, known] : m_directory.upstreams()) {
-            if (known.entry.agent != m_settings.self && m_directory.takesFlows(known)
-                && Directory::allows(*route, known.entry.service)
-                && !m_board.isDraining(known.entry.agent)) {
-                others.push_back(known.entry.agent);
-            }
-        }
+        others = otherTakers(*route);
     }
     // Upstreams with room come first; where there is none, any will do.
     const auto full =
@@ -276,6 +294,7 @@
     m_sweep.push_back(key);
     moved.stage = FlowStage::Moved;
     moved.movedTo = *best;
+    moved.trail = trail;
     moved.offeredAt = now;
     moved.seen = now;
     m_codec.setTrail(bytes, key, trail);
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -122,6 +122,7 @@
     if (restarted) {
         // The upstream starts with nothing: flows of its former life hold no slot of this one.
         note("upstream restarted", "its entry names a new life", {}, m_settings.upstream, now);
+        m_outcomes.reset();
         for (auto &[key, flow] : m_flows) {
             setWaiting(flow, false);
             clearBusy(flow);
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -262,8 +262,13 @@
 void BalancerSteering::onLoadReport(const LoadReport &report, Instant now)
 {
     m_board.onReport(report, now);
-    if (report.draining || report.silentUpstream) {
+    if (report.draining) {
         m_doubtedUntil[report.sender] = now + m_settings.doubt;
+    } else if (report.failingUpstream) {
+        // A doubt that goes on ends now and then, so that the agent gets flows to probe with.
+        if (!isDoubted(report.sender, now)) {
+            m_doubtedUntil[report.sender] = now + m_settings.doubt;
+        }
     } else {
         m_doubtedUntil.erase(report.sender);
     }
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -325,6 +325,11 @@
         // Acknowledges another upstream.
         return;
     }
+    if (segment.dataBytes > 0 && upstream.resetsRequests) {
+        upstream.flows.erase(key);
+        fromUpstream(index, makePacket(key, false, Rst, upstream.startSequence + 1, 0));
+        return;
+    }
     if (segment.dataBytes > 0) {
         upstream.queue.push_back(key);
         startNext(index);
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -45,6 +45,7 @@
     Millis answerDelay {}; ///< of every packet that it sends
     bool dead = false; ///< answers nothing
     bool full = false; ///< takes no new flows
+    bool resetsRequests = false; ///< takes flows and resets them at their first request
     std::uint32_t startSequence = 0;
     std::set<FlowKey> flows;
     std::uint32_t running = 0;
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -334,6 +334,59 @@
     EXPECT_TRUE(fleet.flow(refused).wasReset);
 }
 
+TEST(SteeringFailures, AnUpstreamThatResetsItsFlowsGetsOnlyProbes)
+{
+    Small fleet;
+    fleet.upstream(1).resetsRequests = true;
+    // An upstream that fails at once always looks idle.
+    fleet.load(300);
+    // Three resets to notice, then one probe every 300 ms for two seconds, with some slack.
+    EXPECT_LE(fleet.resets(), 16U);
+    EXPECT_EQ(answeredOf(fleet, 300) + fleet.resets(), 300U);
+}
+
+TEST(SteeringFailures, AnUpstreamThatStopsResettingItsFlowsIsUsedAgain)
+{
+    Small fleet;
+    fleet.upstream(1).resetsRequests = true;
+    fleet.load(200);
+    fleet.upstream(1).resetsRequests = false;
+    // Doubt at balancers ends, probes come back with answers.
+    fleet.load(600);
+    const std::size_t before = fleet.upstream(1).openings.size();
+    fleet.load(300);
+    EXPECT_GT(fleet.upstream(1).openings.size() - before, 60U);
+}
+
+TEST(SteeringOverload, AFlowThatIsHandedBackIsTakenAndNotSentAroundAgain)
+{
+    // Two upstreams that each hand on: the second one has nobody else than the first.
+    Small fleet(0, 2);
+    fleet.upstream(0).full = true;
+    fleet.upstream(1).full = true;
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(3));
+    fleet.upstream(0).full = false;
+    fleet.upstream(1).full = false;
+    fleet.runFor(Millis(150));
+    EXPECT_TRUE(fleet.flow(flow).answered || fleet.flow(flow).wasReset);
+}
+
+TEST(SteeringFailures, UpstreamsThatAllResetTheirFlowsStayInUse)
+{
+    Small fleet;
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.upstream(i).resetsRequests = true;
+    }
+    fleet.load(300);
+    std::size_t openings = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+        openings += fleet.upstream(i).openings.size();
+    }
+    // Doubt never takes a whole service away: every flow still reaches an upstream.
+    EXPECT_GE(openings, 300U);
+}
+
 TEST(SteeringFailures, AStoppingAgentHandsOpeningsOnAndKeepsItsFlows)
 {
     Small fleet;
