Balancers that are outnumbered by dead neighbours leave the rotation; cut-off ones notice sooner

And two balancers that were cut off together took each other's replies for a connection and went on swallowing packets. Change: BalancerGroup, heartbeats between balancers four times a second, bounded in number; the able ones of a minority step down while another failure domain has a majority in rotation, and still forward. Only an agent's reply proves a connection; a late one is asked for every 100 ms, a balancer without any is not ready after one second, not 1.5.

--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -45,8 +45,8 @@
     /// What the platform removes within this time of its return may only have expired while it
     /// was away.
     Millis lapseWindow {4000};
-    /// Without a reply of any peer for this long the process is cut off; it asks several peers
-    /// twice a second.
+    /// Without a reply of any agent for this long the process is cut off. When a reply is late it
+    /// asks several agents, four times as often.
     Millis isolation {1500};
     std::size_t fanOut = 4; ///< peers told of a new version at once
 };
@@ -116,8 +116,8 @@
     [[nodiscard]] const RumorTable &rumors() const noexcept { return m_rumors; }
     [[nodiscard]] const DisseminationCounters &counters() const noexcept { return m_counters; }
     [[nodiscard]] bool isReady(Instant now) const;
-    /// @brief Whether a peer answered a question of this process lately: packets pass both ways.
-    /// True where no peer is known.
+    /// @brief Whether an agent answered a question of this process lately: packets pass both ways.
+    /// Other balancers prove nothing, they may be cut off together. True where no agent is known.
     [[nodiscard]] bool isConnected(Instant now) const;
     [[nodiscard]] bool isReader() const noexcept { return m_isReader; }
     [[nodiscard]] Millis platformAge(Instant now) const;
@@ -132,6 +132,8 @@
                     bool introduces = false);
     void onOwnNotice(const Notice &notice);
     void tellSome(std::size_t count, bool wantsReply, Instant now);
+    void tellSomeOf(std::vector<Endpoint> some, std::size_t count, bool wantsReply, Instant now);
+    [[nodiscard]] bool isAgent(const Endpoint &peer) const;
     void fetch(const Endpoint &peer, Instant now);
     void readPlatform(Instant now);
     void readVmList(Instant now);
@@ -175,7 +177,8 @@
     Instant m_nextRead;
     Instant m_nextVmList;
     Instant m_platformFailedAt;
-    Instant m_repliedAt; ///< when a peer answered last
+    Instant m_nextAsk; ///< when agents are asked again while a reply is late
+    Instant m_repliedAt; ///< when an agent answered last
     std::uint64_t m_rounds = 0;
     Millis m_retry {};
     Millis m_listRetry {};
--- a/include/bergamotglade/detail/net/datagram_codec.hpp
+++ b/include/bergamotglade/detail/net/datagram_codec.hpp
@@ -19,13 +19,15 @@
     std::string payload;
 };
 
-using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated>;
+using Datagram =
+    std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated, BalancerHeartbeat>;
 
 [[nodiscard]] std::string encode(const CallerFrame &frame);
 [[nodiscard]] std::string encode(const DataPacket &packet);
 [[nodiscard]] std::string encode(const LoadReport &report);
 [[nodiscard]] std::string encode(const Notice &notice);
 [[nodiscard]] std::string encode(const FlowLocated &located);
+[[nodiscard]] std::string encode(const BalancerHeartbeat &heartbeat);
 
 /// @brief Reads any datagram.
 /// @param bytes as received
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -70,6 +70,18 @@
     friend bool operator==(const Rumor &, const Rumor &) = default;
 };
 
+/// What a balancer tells other balancers of itself and of its failure domain.
+struct BalancerHeartbeat
+{
+    Endpoint sender;
+    FailureDomainId domain;
+    bool able = false; ///< it could serve
+    bool inRotation = false; ///< it tells the fabric that it serves
+    std::uint32_t neighbours = 0; ///< balancers of its failure domain, itself included
+    std::uint32_t neighboursInRotation = 0;
+    std::vector<std::pair<Endpoint, FailureDomainId>> named; ///< balancers that it heard lately
+};
+
 /// What a process tells a peer about its version of the document.
 struct Notice
 {
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -1,6 +1,7 @@
 #include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/daemon/log.hpp>
+#include <bergamotglade/detail/membership/balancer_group.hpp>
 #include <bergamotglade/detail/steering/balancer_steering.hpp>
 
 #include <nlohmann/json.hpp>
@@ -36,6 +37,7 @@
             stop();
         };
         hooks.onTick = [this](Instant now) {
+            updateGroup(now);
             m_runtime->onTick(now);
             m_steering->onTick(now);
         };
@@ -68,11 +70,11 @@
         hooks.onFlowLocated = [this](const FlowLocated &located) {
             m_steering->onFlowLocated(located, Clock::now());
         };
+        hooks.onHeartbeat = [this](const BalancerHeartbeat &heartbeat) {
+            m_group->onHeartbeat(heartbeat, Clock::now());
+        };
         hooks.isReady = [this] {
-            // A balancer that is cut off would swallow its callers' packets.
-            const Instant now = Clock::now();
-            return !m_stopping && m_runtime->isConfirmed(now)
-                && m_runtime->plane().dissemination().isConnected(now);
+            return isAble(Clock::now()) && !m_group->shouldStepDown();
         };
         hooks.addStatus = [](nlohmann::json &status) {
             status["role"] = "balancer";
@@ -83,6 +85,7 @@
             return runtime.error();
         }
         m_runtime = std::move(runtime.value());
+        startGroup();
         BalancerSteeringHooks out;
         out.forward = [this](const Endpoint &agent, const PacketBytes &bytes) {
             m_runtime->sendPacket(agent, bytes);
@@ -103,10 +106,46 @@
         return boost::outcome_v2::success();
     }
 
+    void startGroup()
+    {
+        const DisseminationSettings &own = m_runtime->plane().dissemination().settings();
+        BalancerGroupSettings settings;
+        settings.self = own.self;
+        settings.domain = own.domain;
+        settings.seeds = own.seeds;
+        BalancerGroupHooks hooks;
+        hooks.send = [this](const Endpoint &balancer, const BalancerHeartbeat &heartbeat) {
+            m_runtime->plane().sendControl(balancer, encode(heartbeat));
+        };
+        m_group.emplace(std::move(settings), std::move(hooks), systemRandom());
+    }
+
+    void updateGroup(Instant now)
+    {
+        const bool was = m_group->shouldStepDown();
+        m_group->onTick(isAble(now), now);
+        if (m_group->shouldStepDown() != was) {
+            logEvent(was ? "back in rotation" : "out of rotation",
+                     {{"reason",
+                       std::string(was ? "half of the failure domain's balancers serve"
+                                       : "most of the failure domain's balancers are down")},
+                      {"balancers", static_cast<std::uint64_t>(m_group->neighbourCount(now))},
+                      {"able", static_cast<std::uint64_t>(m_group->ableCount(now))}});
+        }
+    }
+
+    [[nodiscard]] bool isAble(Instant now) const
+    {
+        // A balancer that is cut off would swallow its callers' packets.
+        return !m_stopping && m_runtime->isConfirmed(now)
+            && m_runtime->plane().dissemination().isConnected(now);
+    }
+
     void stop()
     {
         logEvent("stopped");
         m_steering.reset();
+        m_group.reset();
         m_runtime.reset();
     }
 
@@ -123,6 +162,8 @@
                       c.resetNoUpstream);
         metrics.count("held", "Opening packets kept until routes and upstreams are known", c.held);
         metrics.count("silent", "Packets dropped without an answer", c.silent);
+        metrics.gauge("able_balancers", "Balancers of the failure domain that could serve",
+                      [this] { return static_cast<double>(m_group->ableCount(Clock::now())); });
         metrics.gauge("flows", "Flows remembered",
                       [this] { return static_cast<double>(m_steering->flowCount()); });
     }
@@ -133,6 +174,7 @@
     Process m_process;
     std::unique_ptr<SteeringRuntime> m_runtime;
     std::optional<BalancerSteering> m_steering;
+    std::optional<BalancerGroup> m_group;
     bool m_stopping = false;
     Instant m_doneAt;
 };
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -17,6 +17,8 @@
 // seconds also where the readers of a failure domain are lost.
 constexpr Millis GossipInterval {400};
 constexpr Millis ReaderLease {600};
+/// The fabric takes up to a second more to notice a balancer that is not ready.
+constexpr Millis Isolation {1000};
 constexpr Millis PlatformRetryMin {200};
 constexpr Millis PlatformRetryMax {1000};
 /// Lines about packets that could not be read.
@@ -114,6 +116,7 @@
         settings.vm = VmId(settings.self.str());
         settings.gossipInterval = GossipInterval;
         settings.readerLease = ReaderLease;
+        settings.isolation = Isolation;
         settings.retryMin = PlatformRetryMin;
         settings.retryMax = PlatformRetryMax;
         settings.readersPerDomain = 1;
@@ -128,6 +131,10 @@
         if (located != nullptr && m_hooks.onFlowLocated) {
             m_hooks.onFlowLocated(*located);
         }
+        const auto *heartbeat = std::get_if<BalancerHeartbeat>(&datagram);
+        if (heartbeat != nullptr && m_hooks.onHeartbeat) {
+            m_hooks.onHeartbeat(*heartbeat);
+        }
     };
     hooks.onChange = [this] {
         onDirectoryChange();
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -18,6 +18,8 @@
     std::function<void(const LoadReport &)> onLoadReport;
     /// Balancers only.
     std::function<void(const FlowLocated &)> onFlowLocated;
+    /// Balancers only.
+    std::function<void(const BalancerHeartbeat &)> onHeartbeat;
     std::function<void(nlohmann::json &)> addStatus;
     /// Whether the process wants packets.
     std::function<bool()> isReady;
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -16,6 +16,9 @@
 constexpr Millis ListRetryMin {2000};
 constexpr Millis RumorTtl {60'000};
 constexpr Millis NeverConfirmed {std::chrono::hours(24)};
+/// Agents asked at once while a reply is late, and how often in a round.
+constexpr std::size_t AgentsAsked = 3;
+constexpr std::int64_t AsksPerRound = 4;
 /// Rounds in which only the readers are asked, between two that ask a random peer too.
 constexpr std::uint64_t RoundsPerRandomPeer = 4;
 
@@ -86,13 +89,13 @@
 
 bool Dissemination::lacksReply(Instant now) const
 {
-    return now - m_repliedAt > m_settings.gossipInterval * 2;
+    return now - m_repliedAt > m_settings.gossipInterval * 3 / 2;
 }
 
 bool Dissemination::isConnected(Instant now) const
 {
     const Instant since = std::max(m_repliedAt, m_started);
-    return now - since <= m_settings.isolation || peers().empty();
+    return now - since <= m_settings.isolation || m_agents.empty();
 }
 
 bool Dissemination::isReady(Instant now) const
@@ -119,6 +122,10 @@
             sendNotice(m_settings.self, false, 0, now);
         }
     }
+    if (lacksReply(now) && now >= m_nextAsk) {
+        m_nextAsk = now + m_settings.gossipInterval / AsksPerRound;
+        tellSomeOf(m_agents, AgentsAsked, true, now);
+    }
     if (m_fetching != Endpoint() && now - m_fetchSince > FetchTimeout) {
         m_fetching = Endpoint();
     }
@@ -271,7 +278,7 @@
         return;
     }
     ++m_counters.noticesReceived;
-    if (notice.echo != 0) {
+    if (notice.echo != 0 && isAgent(notice.sender)) {
         m_repliedAt = now;
     }
     remember(notice.sender);
@@ -421,9 +428,19 @@
     }
 }
 
+bool Dissemination::isAgent(const Endpoint &peer) const
+{
+    return std::find(m_agents.begin(), m_agents.end(), peer) != m_agents.end();
+}
+
 void Dissemination::tellSome(std::size_t count, bool wantsReply, Instant now)
 {
-    std::vector<Endpoint> some = peers();
+    tellSomeOf(peers(), count, wantsReply, now);
+}
+
+void Dissemination::tellSomeOf(std::vector<Endpoint> some, std::size_t count, bool wantsReply,
+                               Instant now)
+{
     for (std::size_t i = 0; i < count && !some.empty(); ++i) {
         const auto at = static_cast<std::ptrdiff_t>(below(m_random, some.size()));
         sendNotice(some[static_cast<std::size_t>(at)], wantsReply, 0, now);
--- /dev/null
+++ b/src/membership/balancer_group.cpp
@@ -0,0 +1,191 @@
+#include <bergamotglade/detail/membership/balancer_group.hpp>
+
+#include <algorithm>
+
+namespace bergamotglade {
+
+namespace {
+
+/// Members remembered; a heartbeat names few, so that this is reached in large fleets only.
+constexpr std::size_t MembersMax = 256;
+
+} // namespace
+
+BalancerGroup::BalancerGroup(BalancerGroupSettings settings, BalancerGroupHooks hooks,
+                             Random random)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_random(std::move(random))
+{ }
+
+void BalancerGroup::onHeartbeat(const BalancerHeartbeat &heartbeat, Instant now)
+{
+    if (heartbeat.sender == m_settings.self) {
+        return;
+    }
+    const bool known = m_members.contains(heartbeat.sender);
+    if (!known && m_members.size() >= MembersMax) {
+        return;
+    }
+    Member &member = m_members[heartbeat.sender];
+    const bool wasNew = member.heard == Instant();
+    member = {heartbeat.domain,     now,
+              heartbeat.able,       heartbeat.inRotation,
+              heartbeat.neighbours, heartbeat.neighboursInRotation};
+    for (const auto &[endpoint, domain] : heartbeat.named) {
+        if (endpoint != m_settings.self && m_members.size() < MembersMax) {
+            m_members.try_emplace(endpoint, Member {domain, Instant(), false, false, 0, 0});
+        }
+    }
+    if (wasNew) {
+        sendTo(heartbeat.sender, now);
+    }
+}
+
+void BalancerGroup::onTick(bool able, Instant now)
+{
+    m_able = able;
+    if (m_lastTick != Instant() && now - m_lastTick > m_settings.interval) {
+        // This process stood still: what the others sent meanwhile is still to be read.
+        for (auto &[endpoint, member] : m_members) {
+            if (member.heard != Instant()) {
+                member.heard += now - m_lastTick;
+            }
+        }
+    }
+    m_lastTick = now;
+    std::erase_if(m_members, [&](const auto &m) {
+        return m.second.heard != Instant() && now - m.second.heard > m_settings.memory;
+    });
+    m_steppedDown = able && isMinority(now) && hasRefuge(now);
+    if (now >= m_next) {
+        m_next = now + m_settings.interval;
+        sendRound(now);
+    }
+}
+
+bool BalancerGroup::isUp(const Member &member, Instant now) const
+{
+    return member.heard != Instant() && now - member.heard <= m_settings.silence;
+}
+
+bool BalancerGroup::counts(const Member &member, Instant now) const
+{
+    return member.domain == m_settings.domain && member.heard != Instant()
+        && now - member.heard <= m_settings.memory;
+}
+
+std::size_t BalancerGroup::neighbourCount(Instant now) const
+{
+    return 1
+        + static_cast<std::size_t>(
+               std::count_if(m_members.begin(), m_members.end(),
+                             [&](const auto &m) { return counts(m.second, now); }));
+}
+
+std::size_t BalancerGroup::ableCount(Instant now) const
+{
+    const auto isAble = [&](const auto &m) {
+        return counts(m.second, now) && isUp(m.second, now) && m.second.able;
+    };
+    return (m_able ? 1 : 0)
+        + static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), isAble));
+}
+
+bool BalancerGroup::isMinority(Instant now) const
+{
+    return ableCount(now) * 2 < neighbourCount(now);
+}
+
+bool BalancerGroup::hasRefuge(Instant now) const
+{
+    // A failure domain that steps down as well, or has lost its balancers, is none.
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &m) {
+        const Member &member = m.second;
+        return member.domain != m_settings.domain && member.heard != Instant()
+            && now - member.heard <= m_settings.refugeAge && member.inRotation
+            && member.neighboursInRotation * 2 >= member.neighbours;
+    });
+}
+
+std::vector<Endpoint> BalancerGroup::neighbours(Instant now) const
+{
+    std::vector<Endpoint> all;
+    for (const auto &[endpoint, member] : m_members) {
+        if (member.domain == m_settings.domain
+            && (counts(member, now) || member.heard == Instant())) {
+            all.push_back(endpoint);
+        }
+    }
+    return all;
+}
+
+std::vector<Endpoint> BalancerGroup::others() const
+{
+    std::vector<Endpoint> all;
+    for (const auto &[endpoint, member] : m_members) {
+        if (member.domain != m_settings.domain) {
+            all.push_back(endpoint);
+        }
+    }
+    return all;
+}
+
+std::vector<Endpoint> BalancerGroup::someOf(std::vector<Endpoint> all, std::size_t most) const
+{
+    while (all.size() > most) {
+        all.erase(all.begin() + static_cast<std::ptrdiff_t>(below(m_random, all.size())));
+    }
+    return all;
+}
+
+void BalancerGroup::sendRound(Instant now)
+{
+    std::vector<Endpoint> targets = someOf(neighbours(now), m_settings.neighboursMax);
+    for (const Endpoint &balancer : someOf(others(), m_settings.elsewhereMax)) {
+        targets.push_back(balancer);
+    }
+    for (const Endpoint &seed : m_settings.seeds) {
+        if (seed != m_settings.self && !m_members.contains(seed)) {
+            targets.push_back(seed);
+        }
+    }
+    for (const Endpoint &target : targets) {
+        sendTo(target, now);
+    }
+}
+
+void BalancerGroup::sendTo(const Endpoint &balancer, Instant now)
+{
+    BalancerHeartbeat heartbeat = makeHeartbeat(now);
+    std::vector<std::pair<Endpoint, FailureDomainId>> live;
+    for (const auto &[endpoint, member] : m_members) {
+        if (endpoint != balancer && isUp(member, now)) {
+            live.emplace_back(endpoint, member.domain);
+        }
+    }
+    for (std::size_t i = 0; i < m_settings.namedMax && !live.empty(); ++i) {
+        const auto at = static_cast<std::ptrdiff_t>(below(m_random, live.size()));
+        heartbeat.named.push_back(live[static_cast<std::size_t>(at)]);
+        live.erase(live.begin() + at);
+    }
+    m_hooks.send(balancer, heartbeat);
+}
+
+BalancerHeartbeat BalancerGroup::makeHeartbeat(Instant now) const
+{
+    BalancerHeartbeat heartbeat;
+    heartbeat.sender = m_settings.self;
+    heartbeat.domain = m_settings.domain;
+    heartbeat.able = m_able;
+    heartbeat.inRotation = m_able && !m_steppedDown;
+    heartbeat.neighbours = static_cast<std::uint32_t>(neighbourCount(now));
+    const auto inRotation = [&](const auto &m) {
+        return counts(m.second, now) && isUp(m.second, now) && m.second.inRotation;
+    };
+    heartbeat.neighboursInRotation = (heartbeat.inRotation ? 1U : 0U)
+        + static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(), inRotation));
+    return heartbeat;
+}
+
+} // namespace bergamotglade
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -13,7 +13,8 @@
     LoadReport,
     Notice,
     Handover,
-    FlowLocated
+    FlowLocated,
+    BalancerHeartbeat
 };
 
 constexpr std::size_t ListMax = 4096;
@@ -248,6 +249,24 @@
     return located;
 }
 
+BalancerHeartbeat readBalancerHeartbeat(FieldReader &in)
+{
+    BalancerHeartbeat heartbeat;
+    heartbeat.sender = in.endpoint();
+    heartbeat.domain = FailureDomainId(in.bytes());
+    heartbeat.able = in.flag();
+    heartbeat.inRotation = in.flag();
+    heartbeat.neighbours = static_cast<std::uint32_t>(in.number());
+    heartbeat.neighboursInRotation = static_cast<std::uint32_t>(in.number());
+    in.list([&](FieldReader &items) {
+        items.record([&](FieldReader &item) {
+            const Endpoint balancer = item.endpoint();
+            heartbeat.named.emplace_back(balancer, FailureDomainId(item.bytes()));
+        });
+    });
+    return heartbeat;
+}
+
 HandoverEntry readEntry(FieldReader &in)
 {
     HandoverEntry entry;
@@ -393,6 +412,21 @@
     return out.take();
 }
 
+std::string encode(const BalancerHeartbeat &heartbeat)
+{
+    constexpr std::uint32_t Fields = 7;
+    constexpr std::size_t NamedFields = 2;
+    FieldWriter out(Kind::BalancerHeartbeat, Fields);
+    out.endpoint(heartbeat.sender).bytes(heartbeat.domain.str());
+    out.flag(heartbeat.able).flag(heartbeat.inRotation);
+    out.number(heartbeat.neighbours).number(heartbeat.neighboursInRotation);
+    out.list(heartbeat.named.size());
+    for (const auto &[balancer, domain] : heartbeat.named) {
+        out.list(NamedFields).endpoint(balancer).bytes(domain.str());
+    }
+    return out.take();
+}
+
 Result<Datagram> decodeDatagram(std::string_view bytes)
 {
     if (bytes.empty()) {
@@ -409,6 +443,8 @@
         return decodeAs(bytes, readNotice);
     case Kind::FlowLocated:
         return decodeAs(bytes, readFlowLocated);
+    case Kind::BalancerHeartbeat:
+        return decodeAs(bytes, readBalancerHeartbeat);
     case Kind::Handover:
         break;
     }
--- a/tests/unit-dissemination.cpp
+++ b/tests/unit-dissemination.cpp
@@ -9,6 +9,7 @@
 const Instant Start {Millis(1'000'000)};
 const Endpoint Self {1, 7720};
 const Endpoint Peer {2, 7720};
+const Endpoint Balancer {3, 7720};
 
 /// One process that records what it sends; a peer may answer its questions.
 struct Process
@@ -21,7 +22,7 @@
     {
         DisseminationSettings settings;
         settings.self = Self;
-        settings.seeds = {Peer};
+        settings.seeds = {Peer, Balancer};
         settings.gossipInterval = Millis(400);
         settings.asksReaders = true;
         return settings;
@@ -37,6 +38,12 @@
                 reply.echo = notice.probe;
                 replies.push_back(reply);
             }
+            if (peer == Balancer && notice.wantsReply && balancerAnswers) {
+                Notice reply;
+                reply.sender = Balancer;
+                reply.echo = notice.probe;
+                replies.push_back(reply);
+            }
         };
         hooks.fetchFromPeer = [](const Endpoint &, Revision) {
         };
@@ -69,6 +76,7 @@
     }
 
     bool answers = true;
+    bool balancerAnswers = false;
     Instant now = Start;
     std::size_t reads = 0;
     Revision lastSince;
@@ -92,6 +100,7 @@
 {
     Process process;
     process.spread.start(Start);
+    process.spread.onPlatformBatch(batch(0, 5, {{RootName, Revision(5), "r"}}), Start);
     process.runUntil(Start + Millis(5000));
     EXPECT_TRUE(process.spread.isConnected(process.now));
     process.answers = false;
@@ -102,6 +111,19 @@
     EXPECT_TRUE(process.spread.isConnected(process.now));
 }
 
+TEST(Isolation, AnotherBalancerThatIsCutOffWithItProvesNothing)
+{
+    Process process;
+    process.balancerAnswers = true;
+    process.spread.start(Start);
+    process.spread.onPlatformBatch(batch(0, 5, {{RootName, Revision(5), "r"}}), Start);
+    process.runUntil(Start + Millis(5000));
+    EXPECT_TRUE(process.spread.isConnected(process.now));
+    process.answers = false;
+    process.runUntil(Start + Millis(7500));
+    EXPECT_FALSE(process.spread.isConnected(process.now));
+}
+
 TEST(Lapses, RemovalsRightAfterAnOutageAreMarked)
 {
     Process process;
