Soak: a proxy on every way to the store, domains taken out, herd kills; two places at least for handshakes

Cause: the soak harmed processes and the store as a whole only. Change: each machine of the soak reaches the store through a loopback proxy that delays, resets, cuts one way or silences its connections; failure domains are taken out and checked after 5.3 s; four processes are killed at once; faults draw from a generator of their own, so that a seed gives the same faults. Agents leave at least two places beyond the slots, which changes upstreams of four slots and fewer.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -48,6 +48,9 @@
     /// Flows given to the upstream beyond its slots, as a share of them: a flow takes a round
     /// trip to its caller before it takes a slot.
     double handshakeShare = 0.25;
+    /// And at least this many: after an outage some callers have left, their flows keep a place
+    /// until callerAnswerMin has passed.
+    double handshakeMin = 2;
     /// Flows that wait here for a slot, and for how long: callers give up after 1.4 s.
     std::size_t queueMax = 256;
     Millis queueTime {1300};
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -137,7 +137,7 @@
 
 bool AgentSteering::isFull() const
 {
-    const double beyond = std::max(1.0, slots() * m_settings.handshakeShare);
+    const double beyond = std::max(m_settings.handshakeMin, slots() * m_settings.handshakeShare);
     return m_busy + m_waiting >= slots() + beyond;
 }
 
--- a/tools/soak/ends.cpp
+++ b/tools/soak/ends.cpp
@@ -12,6 +12,8 @@
 constexpr Millis RetransmitAfter {200};
 constexpr Millis SecondCopyAfter {600};
 constexpr Millis OpenTimeout {1400};
+/// A caller opens a new flow after this: an upstream that leaves is gone after some seconds.
+constexpr Millis IdleTime {3000};
 constexpr Millis Deadline {3000};
 constexpr std::uint32_t SlotsShown = 8;
 /// Requests that one connection carries at most.
@@ -65,6 +67,7 @@
     m_startSequence = static_cast<std::uint32_t>(hashBytes(m_id));
     m_flows.clear();
     m_answered.clear();
+    m_open.clear();
     m_work.clear();
     draining = false;
     m_refuseFrom.reset();
@@ -106,6 +109,12 @@
         send(standins::returned(PacketBytes(bytes)));
         return;
     }
+    if (segment.acknowledgement != m_startSequence + 1) {
+        // The caller has taken another upstream's answer to its opening packet.
+        send(standins::returned(PacketBytes(bytes)));
+        return;
+    }
+    m_open.insert(segment.flow);
     if (segment.dataBytes == 0) {
         return;
     }
@@ -127,8 +136,11 @@
         const Work work = m_work.front();
         m_work.pop_front();
         if (!dead && m_flows.contains(work.flow)) {
-            send(standins::makePacket(work.flow, false, standins::Ack, m_startSequence + 1, 2,
-                                      work.answer));
+            // An upstream that leaves closes each flow with its next answer.
+            const auto flags =
+                static_cast<std::uint8_t>(standins::Ack | (draining ? standins::Fin : 0));
+            send(
+                standins::makePacket(work.flow, false, flags, m_startSequence + 1, 2, work.answer));
         }
     }
 }
@@ -161,8 +173,9 @@
     ++m_counts.asked;
     Flow *flow = nullptr;
     for (auto &[port, candidate] : m_flows) {
-        const bool fits = candidate.open && !candidate.waits && candidate.requests < RequestsPerFlow
-            && candidate.key.service == service;
+        const bool fits = candidate.open && !candidate.closed && !candidate.waits
+            && candidate.requests < RequestsPerFlow && candidate.key.service == service
+            && now - candidate.startedAt < IdleTime;
         if (fits && below(m_random, 2) == 0) {
             flow = &candidate;
             break;
@@ -227,6 +240,7 @@
         const std::string prefix = "answer to " + requestPrefix(flow.key);
         if (answer == prefix + std::to_string(flow.requests)) {
             finish(flow, true);
+            flow.closed = segment.finishes;
         } else if (!answer.starts_with(prefix)) {
             m_breach("an answer belongs to another request: " + answer);
         }
--- a/tools/soak/ends.hpp
+++ b/tools/soak/ends.hpp
@@ -33,7 +33,9 @@
     /// @brief The entry in the store.
     [[nodiscard]] std::string entry() const;
     [[nodiscard]] const std::string &id() const noexcept { return m_id; }
-    [[nodiscard]] bool holds(const FlowKey &flow) const { return m_flows.contains(flow); }
+    [[nodiscard]] const std::string &domain() const noexcept { return m_domain; }
+    /// @brief Whether the flow is open here: the end of its handshake has come.
+    [[nodiscard]] bool holds(const FlowKey &flow) const { return m_open.contains(flow); }
     /// @brief From then on a new flow that its caller opened later is a breach.
     void refuseFrom(std::optional<Instant> limit) { m_refuseFrom = limit; }
 
@@ -63,6 +65,7 @@
     std::string m_id;
     std::uint32_t m_startSequence = 0;
     std::set<FlowKey> m_flows;
+    std::set<FlowKey> m_open;
     std::map<FlowKey, std::string> m_answered; ///< last request of each flow
     std::deque<Work> m_work;
     std::optional<Instant> m_refuseFrom;
@@ -101,6 +104,7 @@
         Instant sentAt;
         std::uint32_t copies = 0;
         bool open = false;
+        bool closed = false; ///< the upstream has finished
         bool waits = false; ///< for an answer
         std::uint32_t upstreamSequence = 0;
         std::uint32_t requests = 0;
--- a/tools/soak/glade-soak.cpp
+++ b/tools/soak/glade-soak.cpp
@@ -2,6 +2,7 @@
 /// Runs the real programs on loopback under random faults and checks what both ends see.
 
 #include "ends.hpp"
+#include "proxy.hpp"
 
 #include <store.hpp>
 #include <store_values.hpp>
@@ -40,6 +41,11 @@
 constexpr Millis Settle {6000};
 /// A leaving upstream may get flows for this long after the store knows; 3 s and what is under way.
 constexpr Millis DrainBound {3300};
+/// A failure domain that is out gets no new flows after this; 5 s and what is under way.
+constexpr Millis DomainOutBound {5300};
+constexpr Millis DomainOutTime {7000};
+constexpr Millis ProxyFaultTime {1800};
+constexpr std::size_t HerdSize = 4;
 const Endpoint KitsRoute {0xc6120001, 443};
 const Endpoint DocsRoute {0xc6120001, 444};
 
@@ -49,6 +55,7 @@
     Soak(const Paths &paths, std::uint64_t seed)
         : m_paths(paths)
         , m_random(seededRandom(seed))
+        , m_callerRandom(seededRandom(~seed))
         , m_store(m_io)
         , m_timer(m_io)
     {
@@ -102,10 +109,16 @@
         }
         m_caller = std::make_unique<SoakCaller>(
             m_io, Endpoint {CallerNet + 1, m_ports.packets}, [this] { return rotation(); },
-            [this](const FlowKey &flow) { return isHeld(flow); }, m_random,
+            [this](const FlowKey &flow) { return isHeld(flow); }, m_callerRandom,
             [this](const std::string &what) { breach(what); });
         BOOST_OUTCOME_TRYV(m_caller->open());
         for (const auto &machine : m_machines) {
+            // Each machine reaches the store through a proxy of its own.
+            auto proxy = Proxy::open(m_io, {machine->address(), m_storeAt.port}, m_storeAt);
+            if (!proxy) {
+                return proxy.error();
+            }
+            m_proxies.push_back(std::move(proxy.value()));
             BOOST_OUTCOME_TRYV(start(*machine));
         }
         return boost::outcome_v2::success();
@@ -128,7 +141,7 @@
         for (std::size_t i = 0; i < Balancers; ++i) {
             seeds.push_back({BalancerNet + static_cast<std::uint32_t>(i) + 1, m_ports.control});
         }
-        return machine.start(m_paths, m_ports, m_storeAt, seeds);
+        return machine.start(m_paths, m_ports, {machine.address(), m_storeAt.port}, seeds);
     }
 
     /// The fabric leaves out what has ended or was told to, half a second later.
@@ -183,7 +196,7 @@
         m_caller->onTick(m_now);
         if (m_now >= m_begin + Settle / 4 && m_now >= m_nextRequest && m_now < m_end - Settle / 4) {
             m_nextRequest = m_now + RequestGap;
-            m_caller->request(below(m_random, 4) == 0 ? DocsRoute : KitsRoute, m_now);
+            m_caller->request(below(m_callerRandom, 4) == 0 ? DocsRoute : KitsRoute, m_now);
         }
         if (m_now >= m_faultsUntil + Settle / 2 && !m_calmAgain) {
             m_calmAgain = m_caller->counts();
@@ -212,7 +225,7 @@
 
     void fault()
     {
-        constexpr std::uint64_t Kinds = 8;
+        constexpr std::uint64_t Kinds = 13;
         const std::uint64_t kind = below(m_random, Kinds);
         if (kind <= 3) {
             stopOne(static_cast<std::size_t>(below(m_random, m_machines.size())), kind);
@@ -225,12 +238,71 @@
             crash(static_cast<std::size_t>(below(m_random, m_upstreams.size())));
         } else if (kind == 6) {
             drain(static_cast<std::size_t>(below(m_random, m_upstreams.size())));
+        } else if (kind == 7) {
+            takeDomainOut("domain-" + std::string(1, static_cast<char>('a' + below(m_random, 3))));
+        } else if (kind == 8) {
+            herdKill();
+        } else if (kind <= 11) {
+            harmConnections();
         } else {
             say("configuration changes");
             publishRoutes();
         }
     }
 
+    /// Some machines' connections to the store are harmed, each in its own way.
+    void harmConnections()
+    {
+        constexpr std::uint64_t Modes = 4;
+        const auto mode = static_cast<ProxyMode>(1 + below(m_random, Modes));
+        const std::size_t count = 1 + below(m_random, m_proxies.size());
+        say("connections of " + std::to_string(count) + " machines to the store, mode "
+            + std::to_string(static_cast<int>(mode)));
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::size_t at = below(m_random, m_proxies.size());
+            m_proxies[at]->setMode(mode);
+            later(ProxyFaultTime, [this, at] { m_proxies[at]->setMode(ProxyMode::Pass); });
+        }
+    }
+
+    void herdKill()
+    {
+        for (std::size_t i = 0; i < HerdSize; ++i) {
+            constexpr std::uint64_t Kill = 2;
+            stopOne(static_cast<std::size_t>(below(m_random, m_machines.size())), Kill);
+        }
+    }
+
+    void takeDomainOut(const std::string &domain)
+    {
+        // The bound starts with the store's acknowledgement, given while it is well.
+        const bool calm = m_store.mode() == standins::StoreMode::Up
+            && std::all_of(m_proxies.begin(), m_proxies.end(),
+                           [](const auto &p) { return p->mode() == ProxyMode::Pass; });
+        if (!calm || m_domainOut) {
+            return;
+        }
+        say("failure domain out: " + domain);
+        m_domainOut = true;
+        m_store.put("op/evacuate/" + domain, "{}");
+        later(DomainOutBound, [this, domain] { refuseIn(domain, m_now); });
+        later(DomainOutTime, [this, domain] {
+            say("failure domain back: " + domain);
+            refuseIn(domain, std::nullopt);
+            m_store.remove("op/evacuate/" + domain);
+            m_domainOut = false;
+        });
+    }
+
+    void refuseIn(const std::string &domain, std::optional<Instant> limit)
+    {
+        for (const auto &upstream : m_upstreams) {
+            if (upstream->domain() == domain && !upstream->draining) {
+                upstream->refuseFrom(limit);
+            }
+        }
+    }
+
     void stopOne(std::size_t index, std::uint64_t kind)
     {
         Machine &machine = *m_machines[index];
@@ -335,7 +407,8 @@
     }
 
     Paths m_paths;
-    Random m_random;
+    Random m_random; ///< of the faults
+    Random m_callerRandom; ///< apart, so that a seed gives the same faults
     boost::asio::io_context m_io {1};
     standins::Store m_store;
     boost::asio::steady_timer m_timer;
@@ -343,7 +416,9 @@
     Endpoint m_storeAt;
     std::vector<std::unique_ptr<Machine>> m_machines;
     std::vector<std::unique_ptr<SoakUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<Proxy>> m_proxies; ///< by machine, on its way to the store
     std::unique_ptr<SoakCaller> m_caller;
+    bool m_domainOut = false;
     std::vector<Pending> m_pending;
     std::set<std::size_t> m_out;
     std::set<std::size_t> m_busy;
