Look for other agents only when the own upstream fails

Cause: a second reading: each opening packet listed all agents of its route before it asked whether the upstream fails at all; a getter of OutcomeTracker had no caller. Change: the order of the conditions; the getter is gone. No behaviour changes.

--- a/include/bergamotglade/detail/steering/outcome_tracker.hpp
+++ b/include/bergamotglade/detail/steering/outcome_tracker.hpp
@@ -35,7 +35,6 @@
     [[nodiscard]] bool isFailing() const noexcept { return m_failing; }
     /// @brief Whether a failing upstream may get a new flow now. The next one has to wait.
     bool takeProbe(Instant now);
-    [[nodiscard]] double failureShare() const noexcept { return m_failures; }
     /// @brief Forgets everything: the upstream has started anew.
     void reset();
 
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -120,11 +120,9 @@
         return {};
     }
     // Where every upstream is in doubt, none is.
-    const bool mayLeave = trail.hops < m_settings.hopsMax && !otherTakers(route).empty();
-    if (m_outcomes.isFailing() && mayLeave && !m_outcomes.takeProbe(now)) {
-        return "upstream breaks off its flows";
-    }
-    return {};
+    const bool avoids = m_outcomes.isFailing() && trail.hops < m_settings.hopsMax
+        && !otherTakers(route).empty() && !m_outcomes.takeProbe(now);
+    return avoids ? "upstream breaks off its flows" : "";
 }
 
 bool AgentSteering::coldAdmits(Instant now)
