Leave upstreams that have just refused a flow alone for a while

Cause: an agent whose upstream returned an opening packet gave it the next one all the same; only its load reports said that it was full. In the unit test 687 of 500 flows' offers came back within a second. Ruled out: full slots (the agent counts those itself); the refusing upstreams were not up yet, or ran flows of a former life of the agent. Change: for 300 ms after a refusal, or until the upstream takes or answers a flow, openings are handed on; then one is let through as a probe. Load reports say so. Where no other agent may take the flow it is delivered as before. Red first: AnUpstreamThatRefusesFlowsGetsOnlyProbesUnderOverload.

Also a test for store values that are not padded base64, the input of the fuzzer's finding.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -161,6 +161,7 @@
     [[nodiscard]] bool coldAdmits(Instant now);
     [[nodiscard]] std::vector<Endpoint> otherTakers(const RouteEntry &route) const;
     void onOutcome(bool answered, Instant now);
+    [[nodiscard]] bool isRefusing(Instant now) const;
     [[nodiscard]] bool isFull() const;
     [[nodiscard]] bool isSuspect(Instant now) const;
     [[nodiscard]] bool takesProbe(Instant now);
@@ -225,7 +226,8 @@
     std::uint32_t m_unanswered = 0;
     Instant m_unansweredSince;
     Instant m_probeAt;
-    Instant m_refusedAt;
+    /// When the upstream last refused a flow, until it takes or answers one.
+    std::optional<Instant> m_refusedAt;
     Instant m_startedAt;
     Instant m_nextReport;
     Instant m_lastTick;
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -168,6 +168,11 @@
         onReturned(segment, std::move(bytes), now);
         return;
     }
+    if (m_refusedAt && (segment.opens || segment.dataBytes > 0)) {
+        // A place is free again, or will be soon.
+        m_refusedAt.reset();
+        m_nextReport = now;
+    }
     ++m_counters.toCallers;
     const auto [at, isNew] = m_flows.try_emplace(segment.flow);
     OwnedFlow &flow = at->second;
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -74,7 +74,7 @@
     const bool gone =
         m_directory.isSettled(now) && m_directory.upstreamAt(m_settings.upstream) == nullptr;
     report.draining = m_stopping || gone;
-    report.failingUpstream = m_silent || m_outcomes.isFailing();
+    report.failingUpstream = m_silent || m_outcomes.isFailing() || isRefusing(now);
     return report;
 }
 
@@ -137,7 +137,7 @@
 {
     LoadEstimate own {static_cast<double>(m_busy), static_cast<double>(m_waiting + m_queue.size()),
                       static_cast<double>(slots()), m_serviceTimeMs};
-    if (now - m_refusedAt < m_settings.refusing) {
+    if (isRefusing(now)) {
         own.running = std::max(own.running, own.limit);
     }
     return own;
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -120,9 +120,19 @@
         return {};
     }
     // Where every upstream is in doubt, none is.
-    const bool avoids = m_outcomes.isFailing() && trail.hops < m_settings.hopsMax
-        && !otherTakers(route).empty() && !m_outcomes.takeProbe(now);
-    return avoids ? "upstream breaks off its flows" : "";
+    const bool doubted = m_refusedAt.has_value() || m_outcomes.isFailing();
+    if (!doubted || trail.hops >= m_settings.hopsMax || otherTakers(route).empty()) {
+        return {};
+    }
+    if (isRefusing(now)) {
+        return "upstream has just refused a flow";
+    }
+    if (m_refusedAt) {
+        // This flow is the probe; the next one waits for its outcome.
+        m_refusedAt = now;
+    }
+    return m_outcomes.isFailing() && !m_outcomes.takeProbe(now) ? "upstream breaks off its flows"
+                                                                : "";
 }
 
 bool AgentSteering::coldAdmits(Instant now)
@@ -133,6 +143,11 @@
     return !cold || rate <= 0 || m_coldLimit.admit(rate, now);
 }
 
+bool AgentSteering::isRefusing(Instant now) const
+{
+    return m_refusedAt && now - *m_refusedAt < m_settings.refusing;
+}
+
 bool AgentSteering::isFull() const
 {
     const double beyond = std::max(m_settings.handshakeMin, slots() * m_settings.handshakeShare);
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -207,6 +207,22 @@
     }
 }
 
+TEST(StorePage, AValueThatIsNotPaddedBase64NamesNothing)
+{
+    const std::string good = item("servers/i-1", Server, 5);
+    const std::string start = R"({"key":"servers/bad","value":")";
+    // "e30" without its padding decodes to three bytes where two were reserved.
+    for (const std::string value : {"e30", "e", "e30=e", "*", "===="}) {
+        const std::string bad = start + value + R"(","revision":4,"created_at":1,"lease":0})";
+        const auto read = platform::readStorePage(page(bad + ',' + good), AgentPort);
+        ASSERT_TRUE(read);
+        ASSERT_EQ(read.value().changes.size(), 2U);
+        Directory directory;
+        EXPECT_TRUE(hasErrors(directory.take(read.value().changes[0], Instant()))) << value;
+        EXPECT_FALSE(hasErrors(directory.take(read.value().changes[1], Instant())));
+    }
+}
+
 TEST(StorePage, AnAnswerCutHalfWayIsAnError)
 {
     const std::string whole = page(item("servers/i-1", Server, 5));
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -334,6 +334,29 @@
     EXPECT_TRUE(fleet.flow(refused).wasReset);
 }
 
+TEST(SteeringFailures, AnUpstreamThatRefusesFlowsGetsOnlyProbesUnderOverload)
+{
+    Small fleet;
+    fleet.upstream(0).full = true;
+    // 500 flows a second for the 400 that the other two can bear.
+    fleet.load(500, Millis(2));
+    // One refusal in 300 ms over the second and the tail, with what is on its way at each.
+    EXPECT_LE(fleet.agent(0).counters().returned, 20U);
+}
+
+TEST(SteeringFailures, AnUpstreamThatTakesFlowsAgainIsUsedAgain)
+{
+    Small fleet;
+    fleet.upstream(0).full = true;
+    fleet.load(100);
+    fleet.upstream(0).full = false;
+    // One probe is enough: its outcome is known before the next would be due.
+    fleet.load(200);
+    const std::size_t before = fleet.upstream(0).openings.size();
+    fleet.load(150);
+    EXPECT_GT(fleet.upstream(0).openings.size() - before, 30U);
+}
+
 TEST(SteeringFailures, AnUpstreamThatResetsItsFlowsGetsOnlyProbes)
 {
     Small fleet;
