Let processes explain a steered flow: glade explain, glade status

Ruled out: a copy of the placement in the tool; the process is asked what it holds, so that what it says is what it acts on. Change: GET /v1/flow?caller=&service= on the control address of balancers and agents of steered connections: stage of the flow, agent, offers, candidates in the order of a search with load, its age and why one gets no flows. `glade explain 'CALLER>SERVICE' --at ...` asks the given processes by the id in the logs. Query fields are found by their whole name now (`vice=` matched `service=`). status shows the flows that a steering agent took. No decision of the path is changed.

--- a/daemons/glade.cpp
+++ b/daemons/glade.cpp
@@ -20,6 +20,7 @@
     "usage: glade COMMAND [flags]\n"
     "  check --document DIR                       findings of a document\n"
     "  explain SERVICE CALLER (--document|--at)   where a flow goes and why\n"
+    "  explain 'CALLER>SERVICE' --at A,B          what processes know of a steered flow\n"
     "  status --at A,B                            every process\n"
     "  burn --at A,B                              service-level burn\n"
     "  call SERVICE METHOD PATH --at A,B          one request\n"
@@ -62,6 +63,9 @@
     if (command == "explain" && count == 3) {
         return explainCommand(options, words[1], words[2], std::cout, std::cerr);
     }
+    if (command == "explain" && count == 2) {
+        return explainFlowCommand(options, words[1], std::cout, std::cerr);
+    }
     if (command == "status" && count == 1) {
         return statusCommand(options, std::cout, std::cerr);
     }
--- a/include/bergamotglade/detail/cli/commands.hpp
+++ b/include/bergamotglade/detail/cli/commands.hpp
@@ -33,6 +33,10 @@
 /// @brief `glade explain SERVICE CALLER`: where a flow goes and why.
 int explainCommand(const CliOptions &options, const std::string &service, const std::string &caller,
                    std::ostream &out, std::ostream &err);
+/// @brief `glade explain CALLER>SERVICE`: what processes know of a steered flow, by the id in their
+/// logs. Exit 1 when none of them knows it.
+int explainFlowCommand(const CliOptions &options, const std::string &flow, std::ostream &out,
+                       std::ostream &err);
 /// @brief `glade status`: every process; exit 1 when one is unreachable or behind.
 int statusCommand(const CliOptions &options, std::ostream &out, std::ostream &err);
 /// @brief `glade burn`: exit 0 within budget, 1 slow burn, 3 fast burn, 2 nothing could be read.
--- a/include/bergamotglade/detail/cli/fleet.hpp
+++ b/include/bergamotglade/detail/cli/fleet.hpp
@@ -5,6 +5,7 @@
 #include <bergamotglade/detail/burn/burn.hpp>
 #include <bergamotglade/detail/config/store.hpp>
 #include <bergamotglade/detail/dissemination/dissemination.hpp>
+#include <bergamotglade/detail/flow/flow_key.hpp>
 
 #include <vector>
 
@@ -37,6 +38,10 @@
 /// @brief Asks one process for its status. An unreachable one is reported, not an error.
 [[nodiscard]] ProcessStatus fetchStatus(const Endpoint &process);
 
+/// @brief Asks a steering process what it knows of one flow.
+/// @return the process's JSON object, or the error of the call
+[[nodiscard]] Result<std::string> fetchFlow(const Endpoint &process, const FlowKey &flow);
+
 /// @brief Every process that the document and the given list name, each once.
 [[nodiscard]] std::vector<Endpoint> processesOf(const ConfigStore &store,
                                                 const std::vector<Endpoint> &given);
--- a/include/bergamotglade/detail/net/http.hpp
+++ b/include/bergamotglade/detail/net/http.hpp
@@ -51,6 +51,9 @@
 /// @brief The number behind `key=` in a request's target; 0 where there is none.
 [[nodiscard]] std::uint64_t queryNumber(std::string_view target, std::string_view key);
 
+/// @brief The text behind `key=` in a request's target, up to the next `&`; empty without one.
+[[nodiscard]] std::string queryText(std::string_view target, std::string_view key);
+
 /// Sends the reply to one request; may be called later, once.
 using HttpResponder = std::function<void(HttpReply)>;
 
--- a/include/bergamotglade/detail/net/json_codec.hpp
+++ b/include/bergamotglade/detail/net/json_codec.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <bergamotglade/detail/dissemination/dissemination.hpp>
+#include <bergamotglade/detail/steering/flow_explanation.hpp>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -16,6 +17,9 @@
 /// @brief Reads the platform's VM list. Errors as batchFromJson().
 [[nodiscard]] Result<std::vector<Vm>> vmsFromJson(std::string_view text);
 
+/// @brief What a process knows of a steered flow, as a JSON object for tools.
+[[nodiscard]] std::string toJson(const FlowExplanation &explanation);
+
 /// @brief Findings as a JSON array, for tools.
 [[nodiscard]] std::string toJson(const Findings &findings);
 
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -5,6 +5,7 @@
 #include <bergamotglade/detail/admission/load_board.hpp>
 #include <bergamotglade/detail/admission/rate_limit.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/flow_explanation.hpp>
 #include <bergamotglade/detail/steering/opening_queue.hpp>
 #include <bergamotglade/detail/steering/outcome_tracker.hpp>
 #include <bergamotglade/detail/steering/owned_flow.hpp>
@@ -138,6 +139,8 @@
     [[nodiscard]] std::size_t flowCount() const noexcept { return m_flows.size(); }
     [[nodiscard]] LoadEstimate load(Instant now) const;
     [[nodiscard]] bool isUpstreamSilent() const noexcept { return m_silent; }
+    /// @brief What is known of a flow; changes nothing.
+    [[nodiscard]] FlowExplanation explain(const FlowKey &flow, Instant now) const;
     [[nodiscard]] const AgentSteeringCounters &counters() const noexcept { return m_counters; }
 
 private:
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -4,6 +4,7 @@
 
 #include <bergamotglade/detail/admission/load_board.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/flow_explanation.hpp>
 #include <bergamotglade/detail/steering/segment.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
@@ -71,6 +72,8 @@
     /// @brief Call at least every 20 ms.
     void onTick(Instant now);
 
+    /// @brief What is known of a flow; changes nothing.
+    [[nodiscard]] FlowExplanation explain(const FlowKey &flow, Instant now) const;
     [[nodiscard]] const BalancerSteeringCounters &counters() const noexcept { return m_counters; }
     [[nodiscard]] std::size_t flowCount() const noexcept { return m_flows.size(); }
 
--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -17,6 +17,24 @@
     Moved, ///< offered to another agent
 };
 
+/// @brief The stage as operators see it.
+[[nodiscard]] constexpr std::string_view nameOf(FlowStage stage) noexcept
+{
+    switch (stage) {
+    case FlowStage::Offered:
+        return "offered to the upstream";
+    case FlowStage::Accepted:
+        return "waits for the caller";
+    case FlowStage::Open:
+        return "open";
+    case FlowStage::Ended:
+        return "ended";
+    case FlowStage::Moved:
+        return "handed on";
+    }
+    return "unknown";
+}
+
 /// @brief Whether the upstream has the flow, or is about to.
 [[nodiscard]] constexpr bool isOpen(FlowStage stage) noexcept
 {
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -125,6 +125,34 @@
         << (s.role == "balancer" ? s.forwarded : s.answered) << '\n';
 }
 
+/// What one steering process says of a flow: its stage, then the candidates in order.
+void printFlow(const Endpoint &process, const json &flow, bool withCandidates, std::ostream &out)
+{
+    out << process.str() << "  " << flow.value("stage", "");
+    if (flow.contains("target") && flow["target"].is_string()) {
+        out << " -> " << flow["target"].get<std::string>();
+    }
+    if (flow.contains("idle_ms") && flow["idle_ms"].is_number()) {
+        out << ", last packet " << flow["idle_ms"].get<std::int64_t>() << " ms ago";
+    }
+    out << ", routes " << flow.value("version", std::uint64_t(0)) << '\n';
+    for (const json &agent : flow.value("tried", json::array())) {
+        out << "  offered to " << agent.get<std::string>() << '\n';
+    }
+    if (!withCandidates) {
+        return;
+    }
+    std::size_t rank = 0;
+    for (const json &candidate : flow.value("candidates", json::array())) {
+        out << std::setw(4) << ++rank << "  " << std::left << std::setw(18)
+            << candidate.value("upstream", "") << std::setw(14) << candidate.value("domain", "")
+            << std::setw(22) << candidate.value("agent", "") << std::right << std::fixed
+            << std::setprecision(2) << std::setw(6) << candidate.value("use", 0.0) << std::setw(8)
+            << candidate.value("load_age_ms", std::int64_t(0)) << " ms  "
+            << candidate.value("state", "") << '\n';
+    }
+}
+
 json statusJson(const ProcessStatus &s)
 {
     return {{"endpoint", s.endpoint.str()},
@@ -203,6 +231,42 @@
     return CliOk;
 }
 
+int explainFlowCommand(const CliOptions &options, const std::string &flow, std::ostream &out,
+                       std::ostream &err)
+{
+    const auto arrow = flow.find('>');
+    const auto caller = Endpoint::parse(flow.substr(0, arrow));
+    const auto service =
+        Endpoint::parse(arrow == std::string::npos ? std::string() : flow.substr(arrow + 1));
+    if (!caller || !service || options.at.empty()) {
+        err << "usage: glade explain 'CALLER>SERVICE' --at PROCESSES, with ADDRESS:PORT each\n";
+        return CliUsage;
+    }
+    std::size_t reached = 0;
+    bool known = false;
+    json all = json::object();
+    for (const Endpoint &process : options.at) {
+        const auto text = fetchFlow(process, {caller.value(), service.value()});
+        const json explained = text ? json::parse(text.value(), nullptr, false) : json();
+        if (!explained.is_object()) {
+            err << process.str() << ": " << (text ? "reply is not JSON" : describe(text.error()))
+                << '\n';
+            continue;
+        }
+        ++reached;
+        const bool knownHere = !explained.value("idle_ms", json()).is_null();
+        known = known || knownHere;
+        if (!options.json) {
+            printFlow(process, explained, knownHere || options.at.size() == 1, out);
+        }
+        all[process.str()] = explained;
+    }
+    if (options.json) {
+        out << all.dump(2) << '\n';
+    }
+    return reached == 0 ? CliUsage : (known ? CliOk : CliFound);
+}
+
 int statusCommand(const CliOptions &options, std::ostream &out, std::ostream &err)
 {
     const auto store = storeOf(options);
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -50,7 +50,8 @@
     status.flows = counters.value("flows", 0.0);
     status.running = counters.value("running", 0.0);
     status.forwarded = counters.value("forwarded", 0.0);
-    status.answered = counters.value("answered", 0.0);
+    // Agents of steered connections see no answers; they count the flows that they took.
+    status.answered = counters.value("answered", counters.value("opened", 0.0));
     status.burn.service = ServiceName(whole.value("service", ""));
     status.burn.upstream = UpstreamId(whole.value("upstream", ""));
     status.burn.domain = status.domain;
@@ -95,6 +96,11 @@
     return status;
 }
 
+Result<std::string> fetchFlow(const Endpoint &process, const FlowKey &flow)
+{
+    return get(process, "/v1/flow?caller=" + flow.caller.str() + "&service=" + flow.service.str());
+}
+
 std::vector<Endpoint> processesOf(const ConfigStore &store, const std::vector<Endpoint> &given)
 {
     std::vector<Endpoint> all = given;
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -69,6 +69,9 @@
             status["service"] = m_settings.agent.service.str();
             status["draining"] = m_stopping;
         };
+        hooks.explain = [this](const FlowKey &flow) {
+            return m_steering->explain(flow, Clock::now());
+        };
         auto runtime = SteeringRuntime::open(m_process.io(), m_settings.common,
                                              *m_settings.steering, m_adapter, std::move(hooks));
         if (!runtime) {
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -79,6 +79,9 @@
         hooks.addStatus = [](nlohmann::json &status) {
             status["role"] = "balancer";
         };
+        hooks.explain = [this](const FlowKey &flow) {
+            return m_steering->explain(flow, Clock::now());
+        };
         auto runtime = SteeringRuntime::open(m_process.io(), m_settings.common,
                                              *m_settings.steering, m_adapter, std::move(hooks));
         if (!runtime) {
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -1,6 +1,7 @@
 #include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/daemon/log.hpp>
+#include <bergamotglade/detail/net/json_codec.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusBadRequest = 400;
 constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::uint16_t StatusNotFound = 404;
 constexpr std::string_view ReadyPath = "/v1/ready";
@@ -139,6 +141,13 @@
     hooks.onChange = [this] {
         onDirectoryChange();
     };
+    hooks.onRequest = [this](const HttpRequest &request, const HttpResponder &respond) {
+        const bool known = request.target.starts_with("/v1/flow?");
+        if (known) {
+            serveFlow(request, respond);
+        }
+        return known;
+    };
     hooks.addStatus = [this](nlohmann::json &status) {
         status["route_version"] = m_directory.version();
         m_hooks.addStatus(status);
@@ -208,6 +217,24 @@
              {}});
 }
 
+void SteeringRuntime::serveFlow(const HttpRequest &request, const HttpResponder &respond)
+{
+    const auto caller = Endpoint::parse(queryText(request.target, "caller"));
+    const auto service = Endpoint::parse(queryText(request.target, "service"));
+    if (!caller || !service) {
+        const Error &error = caller ? service.error() : caller.error();
+        respond({StatusBadRequest,
+                 "text/plain",
+                 std::string(caller ? "service: " : "caller: ") + describe(error) + "\n",
+                 {}});
+        return;
+    }
+    respond({StatusOk,
+             "application/json",
+             toJson(m_hooks.explain({caller.value(), service.value()})),
+             {}});
+}
+
 void SteeringRuntime::sendPacket(const Endpoint &to, std::string_view bytes)
 {
     m_packets->send(to, bytes);
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -6,6 +6,7 @@
 
 #include <bergamotglade/detail/daemon/control_plane.hpp>
 #include <bergamotglade/detail/steering/directory.hpp>
+#include <bergamotglade/detail/steering/flow_explanation.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
 #include <optional>
@@ -21,6 +22,8 @@
     /// Balancers only.
     std::function<void(const BalancerHeartbeat &)> onHeartbeat;
     std::function<void(nlohmann::json &)> addStatus;
+    /// What is known of one flow.
+    std::function<FlowExplanation(const FlowKey &)> explain;
     /// Whether the process wants packets.
     std::function<bool()> isReady;
 };
@@ -63,6 +66,7 @@
     void onDirectoryChange();
     [[nodiscard]] Endpoint controlOf(const Endpoint &agent) const;
     void serveReady(const HttpResponder &respond);
+    void serveFlow(const HttpRequest &request, const HttpResponder &respond);
 
     CommonSettings m_common;
     SteeringDaemonSettings m_steering;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,5 +1,6 @@
 #include "http_message.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace bergamotglade {
@@ -32,14 +33,26 @@
 
 } // namespace
 
+std::string queryText(std::string_view target, std::string_view key)
+{
+    const auto question = target.find('?');
+    std::string_view rest = question == std::string_view::npos ? "" : target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const std::string_view part = rest.substr(0, end);
+        if (part.starts_with(key) && part.substr(key.size()).starts_with('=')) {
+            return std::string(part.substr(key.size() + 1));
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
 std::uint64_t queryNumber(std::string_view target, std::string_view key)
 {
-    const auto at = target.find(std::string(key) + '=');
+    const std::string text = queryText(target, key);
     std::uint64_t value = 0;
-    if (at != std::string_view::npos) {
-        const std::string_view text = target.substr(at + key.size() + 1);
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    }
+    std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
 }
 
--- a/src/net/json_codec.cpp
+++ b/src/net/json_codec.cpp
@@ -86,6 +86,30 @@
     return vms;
 }
 
+std::string toJson(const FlowExplanation &explanation)
+{
+    json tried = json::array();
+    for (const Endpoint &agent : explanation.tried) {
+        tried.push_back(agent.str());
+    }
+    json candidates = json::array();
+    for (const FlowCandidate &candidate : explanation.candidates) {
+        candidates.push_back({{"upstream", candidate.upstream.str()},
+                              {"domain", candidate.domain.str()},
+                              {"agent", candidate.agent.str()},
+                              {"use", candidate.use},
+                              {"load_age_ms", candidate.loadAge.count()},
+                              {"state", candidate.state}});
+    }
+    json out {{"stage", explanation.stage},
+              {"version", explanation.version},
+              {"tried", std::move(tried)},
+              {"candidates", std::move(candidates)}};
+    out["target"] = explanation.target == Endpoint() ? json() : json(explanation.target.str());
+    out["idle_ms"] = explanation.idle ? json(explanation.idle->count()) : json();
+    return out.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
 std::string toJson(const Findings &findings)
 {
     json list = json::array();
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -149,6 +149,33 @@
     return self == nullptr ? m_settings.slotsUnknown : std::max(1U, self->entry.slots);
 }
 
+FlowExplanation AgentSteering::explain(const FlowKey &flow, Instant now) const
+{
+    FlowExplanation out;
+    out.version = m_directory.version();
+    out.candidates = candidatesOf(m_directory, flow);
+    for (FlowCandidate &candidate : out.candidates) {
+        const bool own = candidate.agent == m_settings.self;
+        candidate.use = (own ? load(now) : m_board.estimate(candidate.agent, now)).use();
+        candidate.loadAge = own ? Millis(0) : m_board.ageOf(candidate.agent, now);
+        if (own && (m_silent || isRefusing(now) || m_outcomes.isFailing())) {
+            candidate.state = "in doubt: silent, failing or refusing";
+        }
+    }
+    const auto known = m_flows.find(flow);
+    if (m_queue.contains(flow)) {
+        out.stage = "waits for a slot";
+    } else if (known == m_flows.end()) {
+        out.stage = "not known here";
+    } else {
+        out.stage = nameOf(known->second.stage);
+        out.target =
+            known->second.stage == FlowStage::Moved ? known->second.movedTo : m_settings.self;
+        out.idle = now - known->second.seen;
+    }
+    return out;
+}
+
 void AgentSteering::note(std::string_view decision, std::string_view reason, const FlowKey &flow,
                          const Endpoint &target, Instant now)
 {
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -366,4 +366,33 @@
     }
 }
 
+FlowExplanation BalancerSteering::explain(const FlowKey &flow, Instant now) const
+{
+    FlowExplanation out;
+    out.version = m_directory.version();
+    out.candidates = candidatesOf(m_directory, flow);
+    for (FlowCandidate &candidate : out.candidates) {
+        candidate.use = m_board.estimate(candidate.agent, now).use();
+        candidate.loadAge = m_board.ageOf(candidate.agent, now);
+        if (isDoubted(candidate.agent, now)) {
+            candidate.state = "in doubt: silent, failing or stopping";
+        }
+    }
+    const auto known = m_flows.find(flow);
+    if (known != m_flows.end()) {
+        const Placed &placed = known->second;
+        out.stage =
+            placed.searching ? "owner is searched for" : (placed.confirmed ? "open" : "offered");
+        out.target = placed.agent;
+        out.tried = placed.tried;
+        out.idle = now - placed.seen;
+    } else if (const auto held = m_held.find(flow); held != m_held.end()) {
+        out.stage = "waits for routes or upstreams";
+        out.idle = now - held->second.newestAt;
+    } else {
+        out.stage = m_directory.routeAt(flow.service) == nullptr ? "no route" : "not known here";
+    }
+    return out;
+}
+
 } // namespace bergamotglade
--- /dev/null
+++ b/src/steering/flow_explanation.cpp
@@ -0,0 +1,41 @@
+#include <bergamotglade/detail/steering/flow_explanation.hpp>
+
+namespace bergamotglade {
+
+namespace {
+
+std::string_view stateOf(const Directory &directory, const KnownUpstream &upstream)
+{
+    if (directory.isOut(upstream.entry.domain)) {
+        return "failure domain is out";
+    }
+    if (upstream.entry.leaving) {
+        return "upstream is leaving";
+    }
+    return directory.takesFlows(upstream) ? "takes flows" : "takes no new flows";
+}
+
+} // namespace
+
+std::vector<FlowCandidate> candidatesOf(const Directory &directory, const FlowKey &flow)
+{
+    const RouteEntry *route = directory.routeAt(flow.service);
+    if (route == nullptr) {
+        return {};
+    }
+    std::vector<FlowCandidate> candidates;
+    for (const Endpoint &agent : directory.holders(*route, flow)) {
+        FlowCandidate candidate;
+        candidate.agent = agent;
+        candidate.state = "upstream is not known";
+        if (const KnownUpstream *known = directory.upstreamOf(agent)) {
+            candidate.upstream = known->entry.id;
+            candidate.domain = known->entry.domain;
+            candidate.state = stateOf(directory, *known);
+        }
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+} // namespace bergamotglade
--- a/tests/unit-codec.cpp
+++ b/tests/unit-codec.cpp
@@ -2,6 +2,7 @@
 
 #include <bergamotglade/detail/net/datagram_codec.hpp>
 #include <bergamotglade/detail/net/deflate.hpp>
+#include <bergamotglade/detail/net/http.hpp>
 #include <bergamotglade/detail/net/http_codec.hpp>
 #include <bergamotglade/detail/net/json_codec.hpp>
 
@@ -238,6 +239,18 @@
     EXPECT_EQ(huge.error().code, ErrorCode::Oversized);
 }
 
+TEST(HttpTarget, QueryFieldsAreFoundByTheirWholeName)
+{
+    const std::string target = "/v1/flow?caller=10.0.0.1:80&service=10.0.0.2:81&since=7";
+    EXPECT_EQ(queryText(target, "caller"), "10.0.0.1:80");
+    EXPECT_EQ(queryText(target, "service"), "10.0.0.2:81");
+    EXPECT_EQ(queryText(target, "vice"), "");
+    EXPECT_EQ(queryText("/v1/flow", "caller"), "");
+    EXPECT_EQ(queryNumber(target, "since"), 7U);
+    EXPECT_EQ(queryNumber(target, "caller"), 10U);
+    EXPECT_EQ(queryNumber("/v1/changes?since=x", "since"), 0U);
+}
+
 TEST(JsonCodec, BatchSurvives)
 {
     ChangeBatch batch {Revision(3), Revision(9), {}};
--- a/tests/unit-operations.cpp
+++ b/tests/unit-operations.cpp
@@ -3,6 +3,7 @@
 #include "property.hpp"
 
 #include <bergamotglade/detail/burn/burn.hpp>
+#include <bergamotglade/detail/cli/commands.hpp>
 #include <bergamotglade/detail/cli/front.hpp>
 #include <bergamotglade/detail/daemon/metrics.hpp>
 #include <bergamotglade/detail/daemon/supervisor.hpp>
@@ -166,3 +167,27 @@
     result.answer = {404, "text/plain", "none"};
     EXPECT_EQ(replyOf(result).status, 404);
 }
+
+TEST(Commands, ExplainOfASteeredFlowWantsBothAddressesAndAProcess)
+{
+    CliOptions options;
+    options.at = {Endpoint {0x7f000001, 1}};
+    std::ostringstream out;
+    std::ostringstream err;
+    for (const char *bad : {"", "10.0.0.1:80", "10.0.0.1:80>", ">10.0.0.1:80", "a>b"}) {
+        EXPECT_EQ(explainFlowCommand(options, bad, out, err), CliUsage) << bad;
+    }
+    options.at.clear();
+    EXPECT_EQ(explainFlowCommand(options, "10.0.0.1:80>10.0.0.2:81", out, err), CliUsage);
+    EXPECT_EQ(out.str(), "");
+}
+
+TEST(Commands, ExplainNamesAProcessThatDoesNotAnswer)
+{
+    CliOptions options;
+    options.at = {Endpoint {0x7f000001, 1}};
+    std::ostringstream out;
+    std::ostringstream err;
+    EXPECT_EQ(explainFlowCommand(options, "10.0.0.1:80>10.0.0.2:81", out, err), CliUsage);
+    EXPECT_NE(err.str().find("127.0.0.1:1"), std::string::npos);
+}
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -663,3 +663,40 @@
     fleet.runFor(Millis(2000));
     EXPECT_EQ(fleet.agent(0).openCount(fleet.now()), 0U);
 }
+
+// Explanations
+
+TEST(SteeringExplain, BalancerAndAgentTellWhereAFlowIs)
+{
+    Small fleet;
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    const FlowKey key = fleet.flow(flow).key;
+    const std::size_t owner = fleet.upstreamOf(flow);
+    const FlowExplanation balancer = fleet.balancer(0).explain(key, fleet.now());
+    EXPECT_EQ(balancer.stage, "open");
+    EXPECT_EQ(balancer.target, fleet.upstream(owner).agent);
+    EXPECT_EQ(balancer.tried, std::vector<Endpoint> {fleet.upstream(owner).agent});
+    EXPECT_EQ(balancer.candidates.size(), 3U);
+    EXPECT_EQ(fleet.agent(owner).explain(key, fleet.now()).stage, "open");
+    const FlowExplanation other = fleet.agent((owner + 1) % 3).explain(key, fleet.now());
+    EXPECT_EQ(other.stage, "not known here");
+    EXPECT_FALSE(other.idle.has_value());
+}
+
+TEST(SteeringExplain, CandidatesSayWhyTheyGetNoFlows)
+{
+    Small fleet;
+    fleet.publish(fleet.entryOf(2, true));
+    fleet.publish(SteeringFleet::domainOut("a"));
+    const FlowKey key {Endpoint {1, 1}, SteeringFleet::RouteAddress};
+    std::map<Endpoint, std::string_view> states;
+    for (const FlowCandidate &c : fleet.balancer(0).explain(key, fleet.now()).candidates) {
+        states[c.agent] = c.state;
+    }
+    EXPECT_EQ(states[fleet.upstream(0).agent], "failure domain is out");
+    EXPECT_EQ(states[fleet.upstream(1).agent], "takes flows");
+    EXPECT_EQ(states[fleet.upstream(2).agent], "upstream is leaving");
+    const FlowKey nowhere {key.caller, Endpoint {2, 2}};
+    EXPECT_EQ(fleet.balancer(0).explain(nowhere, fleet.now()).stage, "no route");
+}
