--- a/include/bergamotglade/detail/membership/balancer_group.hpp
+++ b/include/bergamotglade/detail/membership/balancer_group.hpp
@@ -60,7 +60,7 @@
     /// @brief Whether this process should not be ready though it is able.
     [[nodiscard]] bool shouldStepDown() const noexcept { return m_steppedDown; }
     /// @brief Balancers of the own failure domain that count, this one included.
-    [[nodiscard]] std::size_t neighbourCount(Instant now) const;
+    [[nodiscard]] std::size_t neighbourCount() const;
     /// @brief Those of them that could serve.
     [[nodiscard]] std::size_t ableCount(Instant now) const;
 
@@ -76,12 +76,12 @@
     };
 
     [[nodiscard]] bool isUp(const Member &member, Instant now) const;
-    [[nodiscard]] bool counts(const Member &member, Instant now) const;
+    [[nodiscard]] bool counts(const Member &member) const;
     [[nodiscard]] bool isMinority(Instant now) const;
     [[nodiscard]] bool hasRefuge(Instant now) const;
     void sendTo(const Endpoint &balancer, Instant now);
     void sendRound(Instant now);
-    [[nodiscard]] std::vector<Endpoint> neighbours(Instant now) const;
+    [[nodiscard]] std::vector<Endpoint> neighbours() const;
     [[nodiscard]] std::vector<Endpoint> others() const;
     [[nodiscard]] std::vector<Endpoint> someOf(std::vector<Endpoint> all, std::size_t most) const;
     [[nodiscard]] BalancerHeartbeat makeHeartbeat(Instant now) const;
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -132,7 +132,7 @@
                      {{"reason",
                        std::string(was ? "half of the failure domain's balancers serve"
                                        : "most of the failure domain's balancers are down")},
-                      {"balancers", static_cast<std::uint64_t>(m_group->neighbourCount(now))},
+                      {"balancers", static_cast<std::uint64_t>(m_group->neighbourCount())},
                       {"able", static_cast<std::uint64_t>(m_group->ableCount(now))}});
         }
     }
--- a/src/membership/balancer_group.cpp
+++ b/src/membership/balancer_group.cpp
@@ -69,24 +69,22 @@
     return member.heard != Instant() && now - member.heard <= m_settings.silence;
 }
 
-bool BalancerGroup::counts(const Member &member, Instant now) const
+bool BalancerGroup::counts(const Member &member) const
 {
-    return member.domain == m_settings.domain && member.heard != Instant()
-        && now - member.heard <= m_settings.memory;
+    return member.domain == m_settings.domain && member.heard != Instant();
 }
 
-std::size_t BalancerGroup::neighbourCount(Instant now) const
+std::size_t BalancerGroup::neighbourCount() const
 {
     return 1
-        + static_cast<std::size_t>(
-               std::count_if(m_members.begin(), m_members.end(),
-                             [&](const auto &m) { return counts(m.second, now); }));
+        + static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                 [&](const auto &m) { return counts(m.second); }));
 }
 
 std::size_t BalancerGroup::ableCount(Instant now) const
 {
     const auto isAble = [&](const auto &m) {
-        return counts(m.second, now) && isUp(m.second, now) && m.second.able;
+        return counts(m.second) && isUp(m.second, now) && m.second.able;
     };
     return (m_able ? 1 : 0)
         + static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), isAble));
@@ -94,7 +92,7 @@
 
 bool BalancerGroup::isMinority(Instant now) const
 {
-    return ableCount(now) * 2 < neighbourCount(now);
+    return ableCount(now) * 2 < neighbourCount();
 }
 
 bool BalancerGroup::hasRefuge(Instant now) const
@@ -108,12 +106,11 @@
     });
 }
 
-std::vector<Endpoint> BalancerGroup::neighbours(Instant now) const
+std::vector<Endpoint> BalancerGroup::neighbours() const
 {
     std::vector<Endpoint> all;
     for (const auto &[endpoint, member] : m_members) {
-        if (member.domain == m_settings.domain
-            && (counts(member, now) || member.heard == Instant())) {
+        if (member.domain == m_settings.domain) {
             all.push_back(endpoint);
         }
     }
@@ -141,7 +138,7 @@
 
 void BalancerGroup::sendRound(Instant now)
 {
-    std::vector<Endpoint> targets = someOf(neighbours(now), m_settings.neighboursMax);
+    std::vector<Endpoint> targets = someOf(neighbours(), m_settings.neighboursMax);
     for (const Endpoint &balancer : someOf(others(), m_settings.elsewhereMax)) {
         targets.push_back(balancer);
     }
@@ -179,9 +176,9 @@
     heartbeat.domain = m_settings.domain;
     heartbeat.able = m_able;
     heartbeat.inRotation = m_able && !m_steppedDown;
-    heartbeat.neighbours = static_cast<std::uint32_t>(neighbourCount(now));
+    heartbeat.neighbours = static_cast<std::uint32_t>(neighbourCount());
     const auto inRotation = [&](const auto &m) {
-        return counts(m.second, now) && isUp(m.second, now) && m.second.inRotation;
+        return counts(m.second) && isUp(m.second, now) && m.second.inRotation;
     };
     heartbeat.neighboursInRotation = (heartbeat.inRotation ? 1U : 0U)
         + static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(), inRotation));
--- a/tests/unit-balancer-group.cpp
+++ b/tests/unit-balancer-group.cpp
@@ -100,8 +100,8 @@
 {
     Groups groups({{"a", 3}, {"b", 2}});
     groups.runFor(Millis(3000));
-    EXPECT_EQ(groups.all[1].group->neighbourCount(groups.now), 3U);
-    EXPECT_EQ(groups.all[4].group->neighbourCount(groups.now), 2U);
+    EXPECT_EQ(groups.all[1].group->neighbourCount(), 3U);
+    EXPECT_EQ(groups.all[4].group->neighbourCount(), 2U);
     EXPECT_EQ(groups.steppedDown(), Down(5, false));
 }
 
@@ -188,7 +188,7 @@
     groups.all[1].runs = false;
     groups.runFor(Millis(21'500));
     EXPECT_FALSE(groups.all[2].group->shouldStepDown());
-    EXPECT_EQ(groups.all[2].group->neighbourCount(groups.now), 1U);
+    EXPECT_EQ(groups.all[2].group->neighbourCount(), 1U);
 }
 
 TEST(BalancerGroup, HeartbeatsStayFewInLargeFailureDomains)
