--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -371,37 +371,49 @@
     });
 }
 
-void SteeringFleet::toCaller(const Endpoint &caller, const PacketBytes &bytes)
+void SteeringFleet::toCaller(const Endpoint & /*caller*/, const PacketBytes &bytes)
 {
-    after(NetworkDelay, [this, caller, bytes] {
+    after(NetworkDelay, [this, bytes] {
         const Segment segment = m_codec.fromUpstream(bytes).value();
-        for (std::size_t i = 0; i < m_callers.size(); ++i) {
-            CallerFlow &flow = m_callers[i];
-            if (flow.key != segment.flow) {
-                continue;
-            }
-            if (segment.resets) {
-                flow.wasReset = true;
-            } else if (segment.opens && !flow.open) {
-                flow.open = true;
-                flow.upstreamSequence = segment.sequence;
-                fromCaller(i, makePacket(flow.key, true, Ack, 2, segment.sequence + 1));
-                if (!flow.keepOpen) {
-                    request(i);
-                }
-            } else if (segment.dataBytes > 0) {
-                flow.answered = true;
-                flow.answeredAt = m_now;
-            }
+        const auto found = m_callerOf.find(segment.flow);
+        if (found != m_callerOf.end()) {
+            toCallersFlow(found->second, segment);
         }
     });
 }
 
+void SteeringFleet::toCallersFlow(std::size_t index, const Segment &segment)
+{
+    CallerFlow &flow = m_callers[index];
+    if (segment.resets) {
+        flow.wasReset = true;
+    } else if (segment.opens && !flow.open) {
+        flow.open = true;
+        flow.upstreamSequence = segment.sequence;
+        fromCaller(index, makePacket(flow.key, true, Ack, 2, segment.sequence + 1));
+        if (!flow.keepOpen) {
+            request(index);
+        }
+    } else if (segment.dataBytes > 0) {
+        flow.answered = true;
+        flow.answeredAt = m_now;
+    }
+}
+
 void SteeringFleet::fromCaller(std::size_t index, PacketBytes bytes)
 {
     after(NetworkDelay, [this, index, bytes = std::move(bytes)] {
         const auto segment = m_codec.fromCaller(bytes);
-        m_balancers[m_callers[index].balancer].steering->onPacket(segment.value(), bytes, m_now);
+        if (!placeDirectly) {
+            m_balancers[m_callers[index].balancer].steering->onPacket(segment.value(), bytes,
+                                                                      m_now);
+            return;
+        }
+        if (!m_placed.contains(index)) {
+            m_placed[index] = placeDirectly(index);
+        }
+        const std::size_t upstream = m_placed.at(index);
+        after(NetworkDelay, [this, upstream, bytes] { toUpstream(upstream, bytes); });
     });
 }
 
@@ -427,6 +439,7 @@
     flow.balancer = balancer;
     flow.keepOpen = keepOpen;
     m_callers.push_back(flow);
+    m_callerOf[flow.key] = index;
     sendOpening(index, 0);
     after(FirstCopy, [this, index] { sendOpening(index, 1); });
     after(SecondCopy, [this, index] { sendOpening(index, 2); });
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -100,6 +100,8 @@
     std::set<std::size_t> deadAgents; ///< by upstream: packets to them are lost
     bool balancersMayAct = true;
     bool agentsMayAct = true;
+    /// Where set, names the upstream of a new flow instead of balancers and agents (baselines).
+    std::function<std::size_t(std::size_t flow)> placeDirectly;
     AgentSteeringSettings agentSettings;
     BalancerSteeringSettings balancerSettings;
 
@@ -138,6 +140,7 @@
     void toCaller(const Endpoint &caller, const PacketBytes &bytes);
     void fromUpstream(std::size_t index, PacketBytes bytes);
     void fromCaller(std::size_t flow, PacketBytes bytes);
+    void toCallersFlow(std::size_t index, const Segment &segment);
     void sendOpening(std::size_t flow, std::uint32_t copy);
     void serve(std::size_t upstream, const FlowKey &key);
     void startNext(std::size_t upstream);
@@ -152,6 +155,8 @@
     std::deque<AgentProcess> m_agents;
     std::deque<BalancerProcess> m_balancers;
     std::deque<CallerFlow> m_callers;
+    std::unordered_map<FlowKey, std::size_t> m_callerOf;
+    std::unordered_map<std::size_t, std::size_t> m_placed; ///< by placeDirectly
     std::vector<SectionChange> m_published;
     std::uint64_t m_revision = 0;
     bool m_ticking = false;
