--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -159,6 +159,44 @@
     EXPECT_LE(passed() - before, flows.size() * 20);
 }
 
+TEST(SteeringFlows, PacketsDoNotCircleBetweenNotesThatPointAtEachOther)
+{
+    Small fleet(0, 2);
+    // The first agent hands flows to the second, because its upstream leaves.
+    fleet.publish(fleet.entryOf(0, true));
+    fleet.publishAtBalancer(0, fleet.entryOf(0));
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 4; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(700));
+    // Later the second one, started again, hands copies of them to the first.
+    fleet.publish(fleet.entryOf(0));
+    fleet.publish(fleet.entryOf(1, true));
+    fleet.publishAtBalancer(0, fleet.entryOf(1));
+    fleet.upstream(1).flows.clear();
+    fleet.restartAgent(1);
+    for (const std::size_t flow : flows) {
+        fleet.flow(flow).open = false;
+        fleet.resendOpening(flow);
+    }
+    // The first sends them back by its older note, and they are lost: both notes stay.
+    fleet.runFor(Millis(3));
+    fleet.deadAgents.insert(1);
+    fleet.runFor(Millis(3));
+    fleet.deadAgents.erase(1);
+    const auto passed = [&] {
+        return fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
+    };
+    const std::uint64_t before = passed();
+    for (const std::size_t flow : flows) {
+        fleet.flow(flow).open = true;
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(1000));
+    EXPECT_LE(passed() - before, flows.size() * 20);
+}
+
 TEST(SteeringFlows, ThatWereSearchedGoStraightToTheirOwnerAfterwards)
 {
     Small fleet(0, 6);
