Flows that wait for a slot are known to the agent that is asked

Cause: read again, `glade explain` took a flow for unknown where a process keeps no time of its last packet, as an agent does for flows in its queue, and ended with 1. Change: the reply says whether anything of the flow is held. Two comments on refusing upstreams say what holds now. No decision of the path is changed.

--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -47,7 +47,7 @@
     double limit = 0; ///< requests that the upstream bears at once
     std::uint32_t serviceTimeMs = 0; ///< smoothed; 0 where unknown
     bool draining = false;
-    /// The upstream leaves packets unanswered or breaks off its flows.
+    /// The upstream leaves packets unanswered, breaks off its flows or has just refused one.
     bool failingUpstream = false;
 };
 
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -44,7 +44,8 @@
     /// Packets follow the note of a flow that was handed on only this far: two notes may point at
     /// each other.
     std::uint8_t noteHopsMax = 8;
-    /// After the upstream refused a flow, the agent counts as full for this long.
+    /// After the upstream refused a flow, the agent counts as full and hands openings on for this
+    /// long, or until the upstream takes or answers a flow; then one goes to it as a probe.
     Millis refusing {300};
     /// Flows given to the upstream beyond its slots, as a share of them: a flow takes a round
     /// trip to its caller before it takes a slot.
--- a/include/bergamotglade/detail/steering/flow_explanation.hpp
+++ b/include/bergamotglade/detail/steering/flow_explanation.hpp
@@ -23,10 +23,11 @@
 
 struct FlowExplanation
 {
+    bool known = false; ///< whether this process holds anything of the flow
     std::string_view stage; ///< what became of the flow here
     Endpoint target; ///< agent that its packets go to; zero where there is none
     std::vector<Endpoint> tried; ///< agents that it was offered to, in their order
-    std::optional<Millis> idle; ///< time since its last packet; none for a flow not known here
+    std::optional<Millis> idle; ///< time since its last packet, where that is kept
     std::uint64_t version = 0; ///< of the routes
     /// In the order in which the flow's owner is searched; none without a route.
     std::vector<FlowCandidate> candidates;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -254,7 +254,7 @@
             continue;
         }
         ++reached;
-        const bool knownHere = !explained.value("idle_ms", json()).is_null();
+        const bool knownHere = explained.value("known", false);
         known = known || knownHere;
         if (!options.json) {
             printFlow(process, explained, knownHere || options.at.size() == 1, out);
--- a/src/net/json_codec.cpp
+++ b/src/net/json_codec.cpp
@@ -101,7 +101,8 @@
                               {"load_age_ms", candidate.loadAge.count()},
                               {"state", candidate.state}});
     }
-    json out {{"stage", explanation.stage},
+    json out {{"known", explanation.known},
+              {"stage", explanation.stage},
               {"version", explanation.version},
               {"tried", std::move(tried)},
               {"candidates", std::move(candidates)}};
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -163,6 +163,7 @@
         }
     }
     const auto known = m_flows.find(flow);
+    out.known = known != m_flows.end() || m_queue.contains(flow);
     if (m_queue.contains(flow)) {
         out.stage = "waits for a slot";
     } else if (known == m_flows.end()) {
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -379,6 +379,7 @@
         }
     }
     const auto known = m_flows.find(flow);
+    out.known = known != m_flows.end() || m_held.contains(flow);
     if (known != m_flows.end()) {
         const Placed &placed = known->second;
         out.stage =
--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -252,7 +252,22 @@
     EXPECT_EQ(fleet.agent(owner).explain(key, fleet.now()).stage, "open");
     const FlowExplanation other = fleet.agent((owner + 1) % 3).explain(key, fleet.now());
     EXPECT_EQ(other.stage, "not known here");
-    EXPECT_FALSE(other.idle.has_value());
+    EXPECT_FALSE(other.known);
+}
+
+TEST(SteeringExplain, AnAgentKnowsFlowsThatWaitForASlot)
+{
+    Small fleet(0, 1);
+    fleet.upstream(0).work = Millis(400);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0));
+        fleet.runFor(Millis(5));
+    }
+    const FlowExplanation last = fleet.agent(0).explain(fleet.flow(flows.back()).key, fleet.now());
+    EXPECT_EQ(last.stage, "waits for a slot");
+    EXPECT_TRUE(last.known);
+    EXPECT_TRUE(fleet.balancer(0).explain(fleet.flow(flows.back()).key, fleet.now()).known);
 }
 
 TEST(SteeringExplain, CandidatesSayWhyTheyGetNoFlows)
