Search from the agents' first candidate while an upstream is only announced

The logs show ten of eleven agents asked, twice, and the owner never. The balancer had started a second before and knew one upstream from its agent only. Such an upstream goes by another name until its entry comes, and names decide the order in which holders are asked. The balancer asked it first and sent the rest of the search to the second place of the order; at the agents the first place was the owner's. Change: a balancer with announced upstreams lets the agents search from their first place. Where the orders agree it costs nothing, an agent passes over itself. An agent whose own list has an announced upstream may shift a search as well; then two searches 150 ms apart must both miss the owner.

--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -63,6 +63,9 @@
     bool announce(const Announcement &announcement, Instant now);
     /// @brief Whether missing entries are to be taken as gone.
     [[nodiscard]] bool isSettled(Instant now) const;
+    /// @brief Whether an upstream is known from its agent only: holders() then ranks it by another
+    /// name than processes that have its entry.
+    [[nodiscard]] bool hasAnnounced() const;
     /// @brief Removes entries whose grace has passed.
     /// @return whether anything changed
     bool expire(Instant now);
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -238,7 +238,8 @@
     }
     known->second.seen = now;
     Trail trail;
-    trail.position = 1;
+    // Where the agents' order may be another, they start with the first of theirs.
+    trail.position = m_directory.hasAnnounced() ? 0 : 1;
     m_codec.setTrail(bytes, segment.flow, trail);
     note("search", "owner unknown", segment.flow, holders.front(), now);
     m_hooks.forward(holders.front(), bytes);
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -158,6 +158,12 @@
     return hasRoutes() && now - m_routesSince >= m_settings.settling;
 }
 
+bool Directory::hasAnnounced() const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                       [](const auto &entry) { return entry.second.announced; });
+}
+
 bool Directory::announce(const Announcement &announcement, Instant now)
 {
     if (isSettled(now) || m_byAddress.contains(announcement.address)) {
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -146,6 +146,14 @@
     m_balancers[balancer].directory->take(change, m_now);
 }
 
+void SteeringFleet::announceAtBalancer(std::size_t balancer, std::size_t index)
+{
+    const FakeUpstream &upstream = m_upstreams[index];
+    m_balancers[balancer].directory->announce(
+        {upstream.service, upstream.domain, upstream.agent, upstream.address, upstream.slots},
+        m_now);
+}
+
 std::size_t SteeringFleet::addUpstream(const std::string &service, const std::string &domain,
                                        bool registered, bool knowsRoutes)
 {
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -68,6 +68,8 @@
     /// @brief Applies a section at every process, or at one balancer only.
     void publish(const SectionChange &change);
     void publishAtBalancer(std::size_t balancer, const SectionChange &change);
+    /// @brief A balancer hears of an upstream from its agent.
+    void announceAtBalancer(std::size_t balancer, std::size_t upstream);
     [[nodiscard]] SectionChange entryOf(std::size_t upstream, bool leaving = false,
                                         Millis coldFor = {}) const;
     [[nodiscard]] static SectionChange
--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -79,6 +79,33 @@
     EXPECT_EQ(answeredOf(fleet, 20), 20U);
 }
 
+TEST(SteeringFlows, AreFoundByABalancerThatKnowsAnUpstreamFromItsAgentOnly)
+{
+    Small fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 20; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(100));
+    // A balancer that has just started: its order of the upstreams differs from the agents'.
+    fleet.addBalancer(false);
+    fleet.publishAtBalancer(1, SteeringFleet::routesTo({{"kits", 1}}));
+    fleet.publishAtBalancer(1, fleet.entryOf(1));
+    fleet.publishAtBalancer(1, fleet.entryOf(2));
+    fleet.announceAtBalancer(1, 0);
+    for (const std::size_t flow : flows) {
+        fleet.flow(flow).balancer = 1;
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(200));
+    for (const std::size_t flow : flows) {
+        fleet.request(flow);
+    }
+    fleet.runFor(Millis(200));
+    EXPECT_EQ(fleet.resets(), 0U);
+    EXPECT_EQ(answeredOf(fleet, 20), 20U);
+}
+
 TEST(SteeringFlows, ThatNobodyHoldsAreResetAtTheSecondSearch)
 {
     Small fleet;
