One set-up for the two tests of circling notes; look up a flow once to explain it

The second test repeated the first one's 25 lines of set-up and its count of packets; both now start from CrossedNotes, with the same steps, bound and assertions.

--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -163,8 +163,9 @@
         }
     }
     const auto known = m_flows.find(flow);
-    out.known = known != m_flows.end() || m_queue.contains(flow);
-    if (m_queue.contains(flow)) {
+    const bool queued = m_queue.contains(flow);
+    out.known = queued || known != m_flows.end();
+    if (queued) {
         out.stage = "waits for a slot";
     } else if (known == m_flows.end()) {
         out.stage = "not known here";
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -380,7 +380,8 @@
         }
     }
     const auto known = m_flows.find(flow);
-    out.known = known != m_flows.end() || m_held.contains(flow);
+    const auto held = m_held.find(flow);
+    out.known = known != m_flows.end() || held != m_held.end();
     if (known != m_flows.end()) {
         const Placed &placed = known->second;
         out.stage =
@@ -388,7 +389,7 @@
         out.target = placed.agent;
         out.tried = placed.tried;
         out.idle = now - placed.seen;
-    } else if (const auto held = m_held.find(flow); held != m_held.end()) {
+    } else if (held != m_held.end()) {
         out.stage = "waits for routes or upstreams";
         out.idle = now - held->second.newestAt;
     } else {
--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -9,6 +9,55 @@
 using namespace bergamotglade;
 using namespace bergamotglade::tests;
 
+namespace {
+
+/// Two agents that hand copies of the same flows to each other, one after the other.
+struct CrossedNotes : Small
+{
+    CrossedNotes()
+        : Small(0, 2)
+    {
+        // The first agent hands flows to the second, because its upstream leaves.
+        publish(entryOf(0, true));
+        publishAtBalancer(0, entryOf(0));
+        for (int i = 0; i < 4; ++i) {
+            flows.push_back(openFlow(0, true));
+        }
+        runFor(Millis(700));
+        // Later the second one, started again, hands copies of them to the first.
+        publish(entryOf(0));
+        publish(entryOf(1, true));
+        publishAtBalancer(0, entryOf(1));
+        upstream(1).flows.clear();
+        restartAgent(1);
+        for (const std::size_t index : flows) {
+            flow(index).open = false;
+            resendOpening(index);
+        }
+    }
+
+    [[nodiscard]] std::uint64_t passed()
+    {
+        return agent(0).counters().passedOn + agent(1).counters().passedOn;
+    }
+
+    /// Packets that agents pass on in the second after a request on each flow.
+    std::uint64_t passedByRequests()
+    {
+        const std::uint64_t before = passed();
+        for (const std::size_t index : flows) {
+            flow(index).open = true;
+            request(index);
+        }
+        runFor(Millis(1000));
+        return passed() - before;
+    }
+
+    std::vector<std::size_t> flows;
+};
+
+} // namespace
+
 // Open flows
 
 TEST(SteeringFlows, SurviveAnotherBalancer)
@@ -154,74 +203,20 @@
 
 TEST(SteeringFlows, PacketsDoNotCircleBetweenAgentsThatHandedAFlowToEachOther)
 {
-    Small fleet(0, 2);
-    // The first agent hands flows to the second, because its upstream leaves.
-    fleet.publish(fleet.entryOf(0, true));
-    fleet.publishAtBalancer(0, fleet.entryOf(0));
-    std::vector<std::size_t> flows;
-    for (int i = 0; i < 4; ++i) {
-        flows.push_back(fleet.openFlow(0, true));
-    }
-    fleet.runFor(Millis(700));
-    // Later the second one, started again, hands copies of them to the first.
-    fleet.publish(fleet.entryOf(0));
-    fleet.publish(fleet.entryOf(1, true));
-    fleet.publishAtBalancer(0, fleet.entryOf(1));
-    fleet.upstream(1).flows.clear();
-    fleet.restartAgent(1);
-    for (const std::size_t flow : flows) {
-        fleet.flow(flow).open = false;
-        fleet.resendOpening(flow);
-    }
+    CrossedNotes fleet;
     fleet.runFor(Millis(100));
-    const auto passed = [&] {
-        return fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
-    };
-    const std::uint64_t before = passed();
-    for (const std::size_t flow : flows) {
-        fleet.flow(flow).open = true;
-        fleet.request(flow);
-    }
-    fleet.runFor(Millis(1000));
-    EXPECT_LE(passed() - before, flows.size() * 20);
+    EXPECT_LE(fleet.passedByRequests(), fleet.flows.size() * 20);
 }
 
 TEST(SteeringFlows, PacketsDoNotCircleBetweenNotesThatPointAtEachOther)
 {
-    Small fleet(0, 2);
-    // The first agent hands flows to the second, because its upstream leaves.
-    fleet.publish(fleet.entryOf(0, true));
-    fleet.publishAtBalancer(0, fleet.entryOf(0));
-    std::vector<std::size_t> flows;
-    for (int i = 0; i < 4; ++i) {
-        flows.push_back(fleet.openFlow(0, true));
-    }
-    fleet.runFor(Millis(700));
-    // Later the second one, started again, hands copies of them to the first.
-    fleet.publish(fleet.entryOf(0));
-    fleet.publish(fleet.entryOf(1, true));
-    fleet.publishAtBalancer(0, fleet.entryOf(1));
-    fleet.upstream(1).flows.clear();
-    fleet.restartAgent(1);
-    for (const std::size_t flow : flows) {
-        fleet.flow(flow).open = false;
-        fleet.resendOpening(flow);
-    }
+    CrossedNotes fleet;
     // The first sends them back by its older note, and they are lost: both notes stay.
     fleet.runFor(Millis(3));
     fleet.deadAgents.insert(1);
     fleet.runFor(Millis(3));
     fleet.deadAgents.erase(1);
-    const auto passed = [&] {
-        return fleet.agent(0).counters().passedOn + fleet.agent(1).counters().passedOn;
-    };
-    const std::uint64_t before = passed();
-    for (const std::size_t flow : flows) {
-        fleet.flow(flow).open = true;
-        fleet.request(flow);
-    }
-    fleet.runFor(Millis(1000));
-    EXPECT_LE(passed() - before, flows.size() * 20);
+    EXPECT_LE(fleet.passedByRequests(), fleet.flows.size() * 20);
 }
 
 TEST(SteeringFlows, ThatWereSearchedGoStraightToTheirOwnerAfterwards)
