--- a/include/bergamotglade/detail/steering/entries.hpp
+++ b/include/bergamotglade/detail/steering/entries.hpp
@@ -46,6 +46,9 @@
     std::vector<ServicePolicy> services;
 };
 
+/// Longest duration that an entry may state.
+inline constexpr Millis EntryDurationMax = std::chrono::hours(24);
+
 /// An upstream's registration.
 struct UpstreamEntry
 {
--- a/src/net/json_codec.cpp
+++ b/src/net/json_codec.cpp
@@ -33,12 +33,12 @@
 {
     return decodeJson<ChangeBatch>(text, [](const json &document) {
         ChangeBatch batch;
-        batch.since = Revision(document.at("since").get<std::uint64_t>());
-        batch.upTo = Revision(document.at("revision").get<std::uint64_t>());
+        batch.since = Revision(integerAt<std::uint64_t>(document, "since"));
+        batch.upTo = Revision(integerAt<std::uint64_t>(document, "revision"));
         for (const json &section : document.at("sections")) {
             SectionChange change;
             change.name = SectionName(section.at("name").get<std::string>());
-            change.revision = Revision(section.at("revision").get<std::uint64_t>());
+            change.revision = Revision(integerAt<std::uint64_t>(section, "revision"));
             change.removed = section.value("removed", false);
             change.lapsed = section.value("lapsed", false);
             change.text = section.value("text", std::string());
--- a/src/steering/entries.cpp
+++ b/src/steering/entries.cpp
@@ -18,6 +18,12 @@
     return endpoint.value();
 }
 
+/// Reads a duration in milliseconds. The limit keeps the sum of any Instant and it in range.
+Millis durationAt(const json &object, const char *key)
+{
+    return Millis(integerAt<std::int64_t>(object, key, 0, EntryDurationMax.count()));
+}
+
 } // namespace
 
 std::string encode(const RouteDocument &document)
@@ -58,16 +64,16 @@
 {
     return decodeJson<RouteDocument>(text, [](const json &root) {
         RouteDocument document;
-        document.version = root.at("version").get<std::uint64_t>();
+        document.version = integerAt<std::uint64_t>(root, "version");
         for (const json &item : root.at("routes")) {
             RouteEntry route;
             route.address = endpointAt(item, "address");
             for (const json &service : item.at("services")) {
                 route.services.push_back({ServiceName(service.at("name").get<std::string>()),
-                                          Weight(service.at("weight").get<std::uint32_t>())});
+                                          Weight(integerAt<std::uint32_t>(service, "weight"))});
             }
-            route.latencyObjective = Millis(item.at("target_ms").get<std::int64_t>());
-            route.priority = item.at("priority").get<std::uint32_t>();
+            route.latencyObjective = durationAt(item, "target_ms");
+            route.priority = integerAt<std::uint32_t>(item, "priority");
             document.routes.push_back(std::move(route));
         }
         for (const json &service : root.at("services")) {
@@ -87,10 +93,10 @@
         entry.domain = FailureDomainId(root.at("domain").get<std::string>());
         entry.agent = endpointAt(root, "agent");
         entry.address = endpointAt(root, "address");
-        entry.slots = root.at("slots").get<std::uint32_t>();
+        entry.slots = integerAt<std::uint32_t>(root, "slots");
         entry.leaving = root.at("leaving").get<bool>();
-        entry.coldDuration = Millis(root.at("cold_ms").get<std::int64_t>());
-        entry.startedAt = root.at("started_at").get<std::uint64_t>();
+        entry.coldDuration = durationAt(root, "cold_ms");
+        entry.startedAt = integerAt<std::uint64_t>(root, "started_at");
         return entry;
     });
 }
