--- a/include/bergamotglade/detail/daemon/settings.hpp
+++ b/include/bergamotglade/detail/daemon/settings.hpp
@@ -41,6 +41,8 @@
     /// the process that sent the watch, has the current revision. This time therefore bounds the
     /// age of the confirmation while the platform answers.
     Millis watchTime {500};
+    /// The whole system starts for the first time: no flow is older than this process.
+    bool isFirstStart = false;
 };
 
 struct BalancerSettings
--- a/include/bergamotglade/detail/net/datagram_codec.hpp
+++ b/include/bergamotglade/detail/net/datagram_codec.hpp
@@ -20,8 +20,8 @@
 };
 
 /// Any message that a process receives over UDP.
-using Datagram =
-    std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated, BalancerHeartbeat>;
+using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated,
+                              BalancerHeartbeat, FlowQuery, FlowAnswer, FlowLocations>;
 
 [[nodiscard]] std::string encode(const CallerFrame &frame);
 [[nodiscard]] std::string encode(const DataPacket &packet);
@@ -29,6 +29,9 @@
 [[nodiscard]] std::string encode(const Notice &notice);
 [[nodiscard]] std::string encode(const FlowLocated &located);
 [[nodiscard]] std::string encode(const BalancerHeartbeat &heartbeat);
+[[nodiscard]] std::string encode(const FlowQuery &query);
+[[nodiscard]] std::string encode(const FlowAnswer &answer);
+[[nodiscard]] std::string encode(const FlowLocations &locations);
 
 /// @brief Decodes any datagram.
 /// @param bytes the datagram as received
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -53,14 +53,53 @@
     bool failingUpstream = false;
 };
 
-/// Names the agent that owns a steered flow. The owner sends it to recent senders of packets when a
-/// packet of the flow has reached it by way of other agents.
+/// Names the agent that owns a steered flow, for a process that sent a packet of it elsewhere.
 struct FlowLocated
 {
     FlowKey flow;
     Endpoint agent;
 };
 
+/// Asks an agent whether its upstream holds the flow of a packet. If it does, the packet is
+/// delivered.
+struct FlowQuery
+{
+    Endpoint sender;
+    /// Digest of the agents that may own the flow in the view of the sender.
+    std::uint64_t ownersDigest = 0;
+    std::string packet; ///< as its caller wrote it
+};
+
+/// An agent or a service that may own flows of a route although the configuration does not say so
+/// any more: processes that have started since cannot know it.
+struct FormerOwner
+{
+    ServiceName service;
+    Endpoint
+        agent; ///< agent of a departed upstream; zero if the service was removed from the route
+    Millis remaining {}; ///< time after which it owns no flow
+};
+
+/// Reply to a FlowQuery.
+struct FlowAnswer
+{
+    FlowKey flow;
+    Endpoint agent; ///< agent that answers
+    bool owned = false;
+    /// Digest of the agents that may own the flow in the view of the sender: the flow has no owner
+    /// only if all of them say so and list the same agents.
+    std::uint64_t ownersDigest = 0;
+    /// Former owners known to the sender, if the digest of the query differs.
+    std::vector<FormerOwner> formerOwners;
+};
+
+/// Tells the homes of long flows who owns them.
+struct FlowLocations
+{
+    Endpoint owner;
+    std::vector<FlowKey> flows;
+};
+
 /// Liveness information about one process, spread by gossip. The rumor with the higher counter
 /// replaces the other.
 struct Rumor
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -10,6 +10,7 @@
 #include <bergamotglade/detail/steering/opening_queue.hpp>
 #include <bergamotglade/detail/steering/outcome_tracker.hpp>
 #include <bergamotglade/detail/steering/owned_flow.hpp>
+#include <bergamotglade/detail/steering/owner_search.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
 #include <deque>
@@ -68,13 +69,19 @@
     /// The dispatch deadline of a queued flow leaves this multiple of the average service time for
     /// the request, because service times vary.
     double serviceTimeFactor = 1.5;
-    /// A flow is reset only after two searches for its owner have failed at least this far apart:
-    /// the upstream lists of two processes may differ for a moment.
-    Millis searchRetryDelay {150};
-    Millis failedSearchTtl {3000}; ///< a failed search that is not repeated is forgotten after this
     /// Upper limit of a flow's lifetime: an agent that has run for longer knows all flows of its
     /// upstream.
     Millis flowLifetimeMax {60'000};
+    /// The whole system has started for the first time, together with this agent: no flow is older.
+    bool isFirstStart = false;
+    /// A flow that has been open for this long is reported to its homes. Most flows end before.
+    Millis locationReportAge {300};
+    std::size_t locationsPerMessage = 50;
+    /// A question to the upstream and its result are forgotten after this.
+    Millis upstreamQueryTtl {10'000};
+    /// Minimum interval between two packets with which the upstream is asked for one flow.
+    Millis upstreamQueryInterval {200};
+    std::size_t upstreamQueriesMax = 4096;
     Millis idleTimeout {15'000}; ///< a flow without packets is removed after this
     /// A stopping agent waits for flows that had a packet within this time, which covers one
     /// retransmission by either end.
@@ -88,12 +95,13 @@
     double lowLoadUtilization = 0.6; ///< a utilization below this is low load
     /// Processes that sent a new flow within this time receive load reports.
     Millis senderTtl {2000};
-    /// Maximum number of recipients of one load report, and of one message about a flow's owner.
+    /// Maximum number of recipients of one load report.
     std::size_t reportTargetsMax = 48;
     /// Minimum interval, per sender, between the load reports that tell it at once that its flow
     /// arrived and was queued or handed off.
     Millis arrivalReportInterval {20};
-    /// Minimum interval, per flow, between the messages that tell other processes its owner.
+    /// Minimum interval, per flow, between the messages that tell a sender of its packets the agent
+    /// that it was handed to.
     Millis locationInterval {200};
     /// New flows are handed off while the flow table holds at least this many flows.
     std::size_t flowsMax = 50'000;
@@ -115,7 +123,8 @@
     /// New flows reset because the queue was full or they waited too long.
     std::uint64_t queuedFlowsReset = 0;
     std::uint64_t flowsHandedOff = 0;
-    std::uint64_t packetsPassedOn = 0; ///< packets of flows that this agent does not own
+    /// Packets of flows that this agent does not own, redirected or taken into a search.
+    std::uint64_t packetsPassedOn = 0;
     std::uint64_t resetsWithoutOwner = 0;
     std::uint64_t resetsNotAccepted = 0; ///< new flows reset because no agent accepted them
     std::uint64_t resetsAfterCrash = 0;
@@ -133,6 +142,9 @@
     std::function<void(const Endpoint &caller, const PacketBytes &)> sendToCaller;
     std::function<void(const Endpoint &process, const LoadReport &)> sendLoadReport;
     std::function<void(const Endpoint &process, const FlowLocated &)> sendFlowLocation;
+    std::function<void(const Endpoint &agent, const FlowQuery &)> sendFlowQuery;
+    std::function<void(const Endpoint &agent, const FlowAnswer &)> sendFlowAnswer;
+    std::function<void(const Endpoint &agent, const FlowLocations &)> sendFlowLocations;
     /// All known processes; they receive the load reports until the directory has settled.
     std::function<std::vector<Endpoint>()> knownProcesses;
     /// Whether the configuration view is recent enough to act on.
@@ -154,6 +166,14 @@
     /// @brief Handles a packet that the upstream wrote or returned.
     void onUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onLoadReport(const LoadReport &report, Instant now);
+    /// @brief Answers whether the upstream holds the flow of a packet, and delivers it if so.
+    /// @param segment the decoded packet
+    void onFlowQuery(const FlowQuery &query, const Segment &segment, Instant now);
+    void onFlowAnswer(const FlowAnswer &answer, Instant now) { m_search.onAnswer(answer, now); }
+    void onFlowLocations(const FlowLocations &locations, Instant now)
+    {
+        m_search.onLocations(locations, now);
+    }
     /// @brief Must be called at least every 20 ms.
     void onTick(Instant now);
     /// @brief Stops accepting new flows.
@@ -168,6 +188,7 @@
     /// @brief What this process knows of a flow; changes no state.
     [[nodiscard]] FlowExplanation explain(const FlowKey &flow, Instant now) const;
     [[nodiscard]] const AgentSteeringCounters &counters() const noexcept { return m_counters; }
+    [[nodiscard]] const OwnerSearch &ownerSearch() const noexcept { return m_search; }
 
 private:
     struct Sender
@@ -175,14 +196,21 @@
         Instant lastSeen;
         Instant lastReported;
     };
-    struct FailedSearch
+    /// The upstream was asked for a flow that this agent does not know.
+    struct UpstreamQuery
     {
-        Instant first;
-        Instant last;
+        std::vector<FlowQuery> askers; ///< queries of agents that wait for the answer
+        /// The upstream does not hold the flow. It would only if this agent offered it.
+        bool denied = false;
+        Instant firstAskedAt;
+        Instant lastAskedAt;
     };
 
     void onOpening(const Segment &segment, PacketBytes bytes, const Endpoint &from, Instant now);
-    void onContinuation(const Segment &segment, PacketBytes bytes, Instant now);
+    void onContinuation(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                        Instant now);
+    /// @brief Delivers a packet of a flow that this agent owns.
+    void deliver(const Segment &segment, OwnedFlow &flow, const PacketBytes &bytes, Instant now);
     void handleUpstreamPacket(const Segment &segment, PacketBytes bytes, Instant now);
     void onReturned(const Segment &segment, PacketBytes bytes, Instant now);
     /// @brief Why this agent does not accept a new flow; empty if it does. Accepting a flow as a
@@ -208,14 +236,28 @@
     /// none.
     void handOffOpening(const FlowKey &key, PacketBytes bytes, Trail trail, std::string_view reason,
                         std::uint32_t acknowledgement, Instant now);
-    /// @brief Sends a packet to the next possible owner of its flow; if there is none left, drops
-    /// it or resets the flow.
-    void continueSearch(const Segment &segment, PacketBytes bytes, std::string_view reason,
-                        Instant now);
+    /// @brief Searches for the owner of a flow with one of its packets.
+    /// @param isDenied the upstream is known not to hold the flow
+    void searchOwner(const Segment &segment, const PacketBytes &bytes, const Endpoint &origin,
+                     bool isDenied, std::string_view reason, Instant now);
     /// @brief Redirects a packet to the agent that its flow was handed off to.
     void followRedirect(const Endpoint &agent, const Segment &segment, PacketBytes bytes,
-                        Instant now);
-    void onOwnerNotFound(const Segment &segment, const Trail &trail, Instant now);
+                        const Endpoint &from, Instant now);
+    /// @brief Tells a process that sent a packet of a flow which agent owns it.
+    void sendFlowLocation(const Endpoint &process, const Endpoint &owner, const FlowKey &key,
+                          OwnedFlow &flow, Instant now);
+    [[nodiscard]] OwnerSearchHooks searchHooks();
+    /// @param asker query of another agent, or null
+    [[nodiscard]] OwnUpstreamState askUpstream(const FlowKey &flow, const PacketBytes &bytes,
+                                               const FlowQuery *asker, Instant now);
+    /// @brief Ends the questions for a flow, with the upstream's packet as the proof.
+    void answerUpstreamQuery(const FlowKey &flow, bool owned, Instant now);
+    [[nodiscard]] FlowAnswer makeAnswer(const FlowKey &flow, bool owned, std::uint64_t digest,
+                                        Instant now) const;
+    [[nodiscard]] const PossibleOwners *possibleOwnersOf(const FlowKey &flow) const;
+    [[nodiscard]] std::uint64_t possibleOwnersDigest(const FlowKey &flow) const;
+    /// @brief Tells the homes of the flows that have become long their owner.
+    void reportLocations(Instant now);
     void sendToUpstream(const PacketBytes &bytes, Instant now);
     void sendReset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
                    Instant now);
@@ -237,7 +279,6 @@
     /// @brief Sends a load report at once to the sender of a flow that was queued or handed off.
     void confirmArrival(const Endpoint &sender, Instant now);
     [[nodiscard]] LoadReport makeLoadReport(Instant now) const;
-    void sendFlowLocation(const FlowKey &key, OwnedFlow &flow, Instant now);
     void eraseFlow(const FlowKey &key);
     /// @brief Whether the upstream may hold flows from before this agent's start.
     [[nodiscard]] bool mayHoldUnknownFlows(Instant now) const;
@@ -259,7 +300,9 @@
     std::deque<FlowTimer> m_offerTimers; ///< flows given to the upstream, oldest first
     /// Flows that wait for the caller's acknowledgement, oldest first.
     std::deque<FlowTimer> m_callerAckTimers;
-    std::unordered_map<FlowKey, FailedSearch> m_failedSearches;
+    std::deque<FlowTimer> m_locationTimers; ///< open flows not yet reported to their homes
+    std::unordered_map<FlowKey, UpstreamQuery> m_upstreamQueries;
+    OwnerSearch m_search;
     /// Processes that recently sent new flows.
     std::unordered_map<Endpoint, Sender> m_recentSenders;
     std::uint32_t m_runningRequests = 0;
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -36,6 +36,12 @@
     std::size_t flowsMax = 100'000;
     /// A flow without packets is removed after this.
     Millis idleTimeout {15'000};
+    /// If the owner of a flow is still unknown after this, its next packet goes to another home,
+    /// unless the first has reported its load within homeReportAgeMax.
+    Millis homeTimeout {150};
+    Millis homeReportAgeMax {1000};
+    /// The owner of a flow whose upstream has departed is asked for again after this.
+    Millis departedRecheckInterval {2000};
     /// Maximum number of opening packets held while no routes or no upstreams are known or the
     /// configuration view is outdated.
     std::size_t heldOpeningsMax = 4096;
@@ -73,8 +79,8 @@
     SteeringLog log;
 };
 
-/// State machine without I/O. The flow table is soft state: the owner of a flow that it lacks is
-/// searched for.
+/// State machine without I/O. The flow table is soft state: packets of a flow that it lacks go to
+/// one of the flow's homes, which knows the owner or searches for it.
 class BalancerSteering
 {
 public:
@@ -102,7 +108,9 @@
         Instant lastSeen;
         Instant offeredAt;
         bool established = false; ///< the caller has acknowledged the upstream's answer
-        bool ownerUnknown = false; ///< packets of the flow are forwarded by a search
+        bool ownerUnknown = false; ///< packets of the flow are sent to one of its homes
+        Instant searchedSince; ///< when its owner became unknown
+        Instant locatedAt; ///< when its owner was last reported
         PacketBytes openingPacket;
     };
 
@@ -111,8 +119,12 @@
     void placeHeldOpenings(Instant now);
     void offerToAgent(const FlowKey &key, const RouteEntry &route, PlacedFlow &flow,
                       std::string_view reason, Instant now);
-    void searchOwner(const Segment &segment, const RouteEntry &route, PacketBytes bytes,
-                     Instant now);
+    void sendToHome(const Segment &segment, const RouteEntry &route, PacketBytes bytes,
+                    Instant now);
+    [[nodiscard]] Endpoint chooseHome(const FlowHomes &homes, const PlacedFlow &flow,
+                                      Instant now) const;
+    /// @brief Whether the flow's upstream has departed and its agent was not asked recently.
+    [[nodiscard]] bool mayHaveEnded(const PlacedFlow &flow, Instant now) const;
     void rejectFlow(const Segment &segment, std::string_view reason, Instant now);
     [[nodiscard]] std::optional<Endpoint> chooseAgent(const FlowKey &key, const RouteEntry &route,
                                                       const std::vector<Endpoint> &tried,
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -2,8 +2,10 @@
 /// Routes and upstreams of a steered deployment, as known to one process.
 #pragma once
 
+#include <bergamotglade/detail/node/packet.hpp>
 #include <bergamotglade/detail/routing/candidates.hpp>
 #include <bergamotglade/detail/steering/entries.hpp>
+#include <bergamotglade/detail/steering/possible_owners.hpp>
 
 #include <map>
 #include <optional>
@@ -32,9 +34,9 @@
     /// A lapsed entry remains in use for this long; upstreams register again within about two
     /// seconds of the platform's return.
     Millis lapsedEntryGrace {2200};
-    /// After a service was removed from a route, its upstreams are still searched for the owners of
-    /// the route's flows for this long, which is the default maximum lifetime of a flow.
-    Millis formerServiceTime {60'000};
+    /// Maximum lifetime of a flow. The agents of an upstream that has departed, and those of a
+    /// service that was removed from a route, may own flows for this long.
+    Millis flowLifetimeMax {60'000};
     /// The directory has settled this long after the first routes arrived. Until then upstreams are
     /// also used if they are only announced: their entries may have expired, and upstreams register
     /// again within about two seconds of the platform's return.
@@ -67,11 +69,8 @@
     bool announce(const Announcement &announcement, Instant now);
     /// @brief Whether the entries are complete, so that an upstream without an entry is gone.
     [[nodiscard]] bool isSettled(Instant now) const;
-    /// @brief Whether an upstream is known only from an announcement: possibleOwners() then ranks
-    /// it under another id than in processes that have its entry.
-    [[nodiscard]] bool hasAnnouncedUpstreams() const;
-    /// @brief Removes announced upstreams once settled, and lapsed entries and former services
-    /// whose time has passed.
+    /// @brief Removes announced upstreams once settled, and lapsed entries, former services and
+    /// departed upstreams whose time has passed.
     /// @return whether an upstream was removed
     bool expire(Instant now);
 
@@ -84,10 +83,16 @@
     [[nodiscard]] const ServiceTable *serviceTable(const ServiceName &service) const;
     /// @brief Like serviceTable(), limited to the upstreams of the home failure domain.
     [[nodiscard]] const ServiceTable *homeServiceTable(const ServiceName &service) const;
-    /// @brief Agents that may own a flow of a route, in the order in which they are searched.
-    /// @complexity n log n in the upstreams of the route's services
-    [[nodiscard]] std::vector<Endpoint> possibleOwners(const RouteEntry &route,
-                                                       const FlowKey &flow) const;
+    /// @brief Agents that may own flows of a route, departed ones included.
+    /// @return valid until the directory changes
+    /// @complexity constant; n log n in the upstreams at the first call after a change
+    [[nodiscard]] const PossibleOwners &possibleOwners(const RouteEntry &route) const;
+    /// @brief Services and agents that may own flows of a route although the newest sections do not
+    /// say so.
+    [[nodiscard]] std::vector<FormerOwner> formerOwners(const RouteEntry &route, Instant now) const;
+    /// @brief Adds what another process knows of former owners.
+    void learnFormerOwners(const RouteEntry &route, const std::vector<FormerOwner> &owners,
+                           Instant now);
     /// @brief Whether new flows of the route may go to the service.
     [[nodiscard]] static bool routeIncludes(const RouteEntry &route, const ServiceName &service);
 
@@ -116,10 +121,18 @@
         Instant until;
     };
 
+    struct DepartedUpstream
+    {
+        ServiceName service;
+        Endpoint agent;
+        Instant until;
+    };
+
     Findings applyRoutes(const SectionChange &change, Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change);
-    void eraseUpstream(const UpstreamId &id);
+    void eraseUpstream(const UpstreamId &id, Instant now);
+    void addDeparted(const ServiceName &service, const Endpoint &agent, Instant until);
     void rebuildTables(const ServiceName &service);
     void rebuildAllTables();
     void buildTable(std::map<ServiceName, ServiceTable> &tables,
@@ -134,6 +147,9 @@
     std::map<UpstreamId, KnownUpstream> m_upstreams;
     std::unordered_map<Endpoint, UpstreamId> m_byAddress;
     std::unordered_map<Endpoint, UpstreamId> m_byAgent;
+    std::vector<DepartedUpstream> m_departed;
+    /// Results of possibleOwners(), by route; cleared at every change.
+    mutable std::unordered_map<Endpoint, PossibleOwners> m_possibleOwners;
     ConfigView m_view;
     std::map<ServiceName, ServiceTable> m_tables;
     std::map<ServiceName, ServiceTable> m_homeTables;
--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -57,7 +57,8 @@
     /// Last acknowledgement number of the caller. A reset uses it as its sequence number, which
     /// must be close to the one that the caller expects.
     std::uint32_t callerAcknowledgement = 0;
-    Instant locationSentAt; ///< when other processes were last told the owner of the flow
+    Instant locationSentAt; ///< when a sender was last told the agent that the flow was handed to
+    Endpoint lastSender; ///< process that sent the last packet of the caller
     Endpoint handedOffTo;
     Trail trail; ///< trail of the opening packet, as offered or as handed off
     /// Kept until the caller acknowledges the upstream's answer, to hand the flow off if the
@@ -69,12 +70,21 @@
     /// @return also true if the upstream's sequence number is not known
     [[nodiscard]] bool matchesUpstream(const Segment &segment) const noexcept
     {
-        if (!upstreamInitialSequence || !segment.acknowledges || stage == FlowStage::Open) {
+        // Once a flow is open, its acknowledgement numbers leave the initial window.
+        const bool wasOpen = stage == FlowStage::Open || stage == FlowStage::Ended;
+        if (!upstreamInitialSequence || !segment.acknowledges || wasOpen) {
             return true;
         }
         return segment.acknowledgement - *upstreamInitialSequence <= InitialWindowBytes;
     }
 
+    /// @brief Whether a caller's packet proves that the caller chose this upstream's answer to the
+    /// opening packet.
+    [[nodiscard]] bool confirmsUpstream(const Segment &segment) const noexcept
+    {
+        return upstreamInitialSequence && matchesUpstream(segment) && segment.acknowledges;
+    }
+
     /// The caller's first acknowledgement lies within the upstream's initial window of 16 packets
     /// of 1,200 bytes; the upstream's opening packet takes one sequence number.
     static constexpr std::uint32_t InitialWindowBytes = 16 * 1200 + 1;
--- a/include/bergamotglade/detail/steering/segment.hpp
+++ b/include/bergamotglade/detail/steering/segment.hpp
@@ -11,20 +11,13 @@
 
 namespace bergamotglade {
 
-/// Forwarding state of a packet: the progress of the search for the owner of its flow, or of the
-/// placement of a new flow. It is carried in the packet, also through an upstream that returns it,
-/// so that a search needs no state in the processes.
+/// Forwarding state of a packet: the progress of the placement of a new flow. It is carried in the
+/// packet, also through an upstream that returns it.
 struct Trail
 {
     /// Number of times that agents have forwarded the packet.
     std::uint8_t hops = 0;
-    /// Next position in the flow's list of possible owners.
-    std::uint8_t searchPosition = 0;
-    /// A possible owner could not be asked, so the failure of the search does not prove that there
-    /// is no owner.
-    bool searchIncomplete = false;
-    /// Only in opening packets, for whose flows no owner is searched: time for which agents and
-    /// balancers have held the packet.
+    /// Only in opening packets: time for which agents and balancers have held the packet.
     Millis heldTime {};
 
     friend bool operator==(const Trail &, const Trail &) = default;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -61,6 +61,7 @@
         }
         steeringMap.duration("flow_max", steering->flowMax);
         steeringMap.duration("watch_time", steering->watchTime);
+        steeringMap.boolean("first_start", steering->isFirstStart);
         steeringMap.finish();
     });
 }
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -1,6 +1,7 @@
 #include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/daemon/log.hpp>
+#include <bergamotglade/detail/net/datagram_codec.hpp>
 #include <bergamotglade/detail/steering/agent_steering.hpp>
 
 #include <nlohmann/json.hpp>
@@ -61,6 +62,21 @@
         hooks.onLoadReport = [this](const LoadReport &report) {
             m_steering->onLoadReport(report, Clock::now());
         };
+        hooks.onFlowLocated = [this](const FlowLocated &located) {
+            m_steering->onFlowLocations({located.agent, {located.flow}}, Clock::now());
+        };
+        hooks.onFlowQuery = [this](const FlowQuery &query) {
+            const auto segment = m_runtime->decodePacket(m_adapter.codec.fromCaller, query.packet);
+            if (segment) {
+                m_steering->onFlowQuery(query, *segment, Clock::now());
+            }
+        };
+        hooks.onFlowAnswer = [this](const FlowAnswer &answer) {
+            m_steering->onFlowAnswer(answer, Clock::now());
+        };
+        hooks.onFlowLocations = [this](const FlowLocations &locations) {
+            m_steering->onFlowLocations(locations, Clock::now());
+        };
         hooks.isReady = [this] {
             return !m_stopping && m_runtime->isConfirmed(Clock::now());
         };
@@ -94,6 +110,7 @@
         steering.domain = m_settings.common.domain;
         steering.incarnation = m_runtime->plane().dissemination().settings().incarnation;
         steering.flowLifetimeMax = m_settings.steering->flowMax;
+        steering.isFirstStart = m_settings.steering->isFirstStart;
         m_steering.emplace(std::move(steering), m_runtime->directory(), m_adapter.codec,
                            steeringHooks(), systemRandom(), Clock::now());
         addMetrics();
@@ -101,6 +118,7 @@
                  {{"packets", m_settings.steering->packets.str()},
                   {"upstream", m_settings.upstreamAddress.str()},
                   {"service", m_settings.agent.service.str()},
+                  {"first_start", m_settings.steering->isFirstStart},
                   {"control", m_runtime->plane().local().str()}});
         return boost::outcome_v2::success();
     }
@@ -119,10 +137,19 @@
             m_runtime->sendToCaller(caller, bytes);
         };
         hooks.sendLoadReport = [this](const Endpoint &process, const LoadReport &report) {
-            m_runtime->sendLoadReport(process, report);
+            m_runtime->sendControl(process, encode(report));
         };
         hooks.sendFlowLocation = [this](const Endpoint &process, const FlowLocated &located) {
-            m_runtime->sendFlowLocation(process, located);
+            m_runtime->sendControl(process, encode(located));
+        };
+        hooks.sendFlowQuery = [this](const Endpoint &agent, const FlowQuery &query) {
+            m_runtime->sendControl(agent, encode(query));
+        };
+        hooks.sendFlowAnswer = [this](const Endpoint &agent, const FlowAnswer &answer) {
+            m_runtime->sendControl(agent, encode(answer));
+        };
+        hooks.sendFlowLocations = [this](const Endpoint &agent, const FlowLocations &locations) {
+            m_runtime->sendControl(agent, encode(locations));
         };
         hooks.knownProcesses = [this] {
             return m_runtime->plane().dissemination().peers();
@@ -182,6 +209,19 @@
                               counters.upstreamSilences);
         metrics.addCounterRef("broken_off", "Requests that the upstream ended without an answer",
                               counters.requestsUnanswered);
+        const OwnerSearchCounters &search = m_steering->ownerSearch().counters();
+        metrics.addCounterRef("owner_searches", "Searches for the owner of a flow",
+                              search.searches);
+        metrics.addCounterRef("owner_queries", "Agents asked whether they own a flow",
+                              search.queriesSent);
+        metrics.addCounterRef("owners_found", "Searches that found the owner", search.ownersFound);
+        metrics.addCounterRef("owners_absent", "Searches that proved that a flow has no owner",
+                              search.ownersAbsent);
+        metrics.addCounterRef("search_drops", "Packets that found no room in a search",
+                              search.packetsDropped);
+        metrics.addGauge("locations", "Flows whose owner is known as one of their homes", [this] {
+            return static_cast<double>(m_steering->ownerSearch().locationCount());
+        });
         metrics.addGauge("flows", "Flows held",
                          [this] { return static_cast<double>(m_steering->flowCount()); });
         metrics.addGauge("running", "Requests that wait for the upstream",
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -28,13 +28,25 @@
 /// Shortest interval between log lines about invalid packets.
 constexpr Millis BadPacketLogInterval {1000};
 
-DirectorySettings directorySettings(const CommonSettings &common)
+DirectorySettings directorySettings(const CommonSettings &common,
+                                    const SteeringDaemonSettings &steering)
 {
     DirectorySettings settings;
     settings.homeDomain = common.domain;
+    settings.flowLifetimeMax = steering.flowMax;
     return settings;
 }
 
+/// Passes a datagram to a handler of its type, if the role has one.
+template <typename Message>
+void dispatch(const Datagram &datagram, const std::function<void(const Message &)> &handler)
+{
+    const auto *message = std::get_if<Message>(&datagram);
+    if (message != nullptr && handler) {
+        handler(*message);
+    }
+}
+
 } // namespace
 
 SteeringRuntime::SteeringRuntime(const CommonSettings &common,
@@ -42,7 +54,7 @@
     : m_common(common)
     , m_steering(steering)
     , m_hooks(std::move(hooks))
-    , m_directory(directorySettings(common))
+    , m_directory(directorySettings(common, steering))
 { }
 
 Result<std::unique_ptr<SteeringRuntime>>
@@ -132,14 +144,11 @@
         if (const auto *report = std::get_if<LoadReport>(&datagram)) {
             onLoadReport(*report);
         }
-        const auto *located = std::get_if<FlowLocated>(&datagram);
-        if (located != nullptr && m_hooks.onFlowLocated) {
-            m_hooks.onFlowLocated(*located);
-        }
-        const auto *heartbeat = std::get_if<BalancerHeartbeat>(&datagram);
-        if (heartbeat != nullptr && m_hooks.onHeartbeat) {
-            m_hooks.onHeartbeat(*heartbeat);
-        }
+        dispatch(datagram, m_hooks.onFlowLocated);
+        dispatch(datagram, m_hooks.onFlowQuery);
+        dispatch(datagram, m_hooks.onFlowAnswer);
+        dispatch(datagram, m_hooks.onFlowLocations);
+        dispatch(datagram, m_hooks.onHeartbeat);
     };
     hooks.onChange = [this] {
         onDirectoryChange();
@@ -248,14 +257,9 @@
     m_packetSocket->send({caller.address, m_steering.packets.port}, bytes);
 }
 
-void SteeringRuntime::sendLoadReport(const Endpoint &process, const LoadReport &report)
-{
-    m_plane->sendControl(controlEndpoint(process), encode(report));
-}
-
-void SteeringRuntime::sendFlowLocation(const Endpoint &process, const FlowLocated &located)
+void SteeringRuntime::sendControl(const Endpoint &process, std::string_view message)
 {
-    m_plane->sendControl(controlEndpoint(process), encode(located));
+    m_plane->sendControl(controlEndpoint(process), message);
 }
 
 SteeringLog SteeringRuntime::log() const
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -19,8 +19,13 @@
 {
     std::function<void(const Endpoint &from, std::string_view bytes)> onPacket;
     std::function<void(const LoadReport &)> onLoadReport;
-    /// Set by balancers only.
     std::function<void(const FlowLocated &)> onFlowLocated;
+    /// @name Set by agents only
+    /// @{
+    std::function<void(const FlowQuery &)> onFlowQuery;
+    std::function<void(const FlowAnswer &)> onFlowAnswer;
+    std::function<void(const FlowLocations &)> onFlowLocations;
+    /// @}
     /// Set by balancers only.
     std::function<void(const BalancerHeartbeat &)> onHeartbeat;
     std::function<void(nlohmann::json &)> addStatus;
@@ -50,8 +55,8 @@
     /// @brief Sends a packet to the address of a caller. The port is the packet port of this
     /// process, since callers receive packets at the same port number.
     void sendToCaller(const Endpoint &caller, std::string_view bytes);
-    void sendLoadReport(const Endpoint &process, const LoadReport &report);
-    void sendFlowLocation(const Endpoint &process, const FlowLocated &located);
+    /// @brief Sends an encoded message to the control address of a process.
+    void sendControl(const Endpoint &process, std::string_view message);
     [[nodiscard]] SteeringLog log() const;
     /// @brief Whether routes are known and the configuration is confirmed.
     [[nodiscard]] bool isConfirmed(Instant now) const;
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -14,7 +14,10 @@
     Notice,
     Handover,
     FlowLocated,
-    BalancerHeartbeat
+    BalancerHeartbeat,
+    FlowQuery,
+    FlowAnswer,
+    FlowLocations
 };
 
 constexpr std::size_t ListItemsMax = 4096;
@@ -254,6 +257,42 @@
     return located;
 }
 
+FlowQuery readFlowQuery(FieldReader &in)
+{
+    FlowQuery query;
+    query.sender = in.endpoint();
+    query.ownersDigest = in.number();
+    query.packet = in.bytes();
+    return query;
+}
+
+FlowAnswer readFlowAnswer(FieldReader &in)
+{
+    FlowAnswer answer;
+    answer.flow = readFlow(in);
+    answer.agent = in.endpoint();
+    answer.owned = in.flag();
+    answer.ownersDigest = in.number();
+    in.list([&](FieldReader &items) {
+        items.record([&](FieldReader &item) {
+            FormerOwner owner;
+            owner.service = ServiceName(item.bytes());
+            owner.agent = item.endpoint();
+            owner.remaining = item.millis();
+            answer.formerOwners.push_back(std::move(owner));
+        });
+    });
+    return answer;
+}
+
+FlowLocations readFlowLocations(FieldReader &in)
+{
+    FlowLocations locations;
+    locations.owner = in.endpoint();
+    in.list([&](FieldReader &items) { locations.flows.push_back(readFlow(items)); });
+    return locations;
+}
+
 BalancerHeartbeat readBalancerHeartbeat(FieldReader &in)
 {
     BalancerHeartbeat heartbeat;
@@ -420,6 +459,41 @@
     return out.result();
 }
 
+std::string encode(const FlowQuery &query)
+{
+    constexpr std::uint32_t Fields = 3;
+    FieldWriter out(MessageKind::FlowQuery, Fields);
+    out.endpoint(query.sender).number(query.ownersDigest).bytes(query.packet);
+    return out.result();
+}
+
+std::string encode(const FlowAnswer &answer)
+{
+    constexpr std::uint32_t Fields = 6;
+    constexpr std::size_t FormerOwnerFields = 3;
+    FieldWriter out(MessageKind::FlowAnswer, Fields);
+    writeFlow(out, answer.flow);
+    out.endpoint(answer.agent).flag(answer.owned).number(answer.ownersDigest);
+    out.list(answer.formerOwners.size());
+    for (const FormerOwner &owner : answer.formerOwners) {
+        out.list(FormerOwnerFields).bytes(owner.service.str()).endpoint(owner.agent);
+        out.millis(owner.remaining);
+    }
+    return out.result();
+}
+
+std::string encode(const FlowLocations &locations)
+{
+    constexpr std::uint32_t Fields = 2;
+    constexpr std::size_t ItemsPerFlow = 2;
+    FieldWriter out(MessageKind::FlowLocations, Fields);
+    out.endpoint(locations.owner).list(locations.flows.size() * ItemsPerFlow);
+    for (const FlowKey &flow : locations.flows) {
+        writeFlow(out, flow);
+    }
+    return out.result();
+}
+
 std::string encode(const BalancerHeartbeat &heartbeat)
 {
     constexpr std::uint32_t Fields = 7;
@@ -453,6 +527,12 @@
         return decodeAsDatagram(bytes, readFlowLocated);
     case MessageKind::BalancerHeartbeat:
         return decodeAsDatagram(bytes, readBalancerHeartbeat);
+    case MessageKind::FlowQuery:
+        return decodeAsDatagram(bytes, readFlowQuery);
+    case MessageKind::FlowAnswer:
+        return decodeAsDatagram(bytes, readFlowAnswer);
+    case MessageKind::FlowLocations:
+        return decodeAsDatagram(bytes, readFlowLocations);
     case MessageKind::Handover:
         break;
     }
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -19,34 +19,54 @@
 
 } // namespace
 
-void AgentSteering::onContinuation(const Segment &segment, PacketBytes bytes, Instant now)
+void AgentSteering::onContinuation(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                                   Instant now)
 {
     // If the opening packet of the flow is still queued here, it is obsolete: the upstream of
     // another agent has answered the caller, or the caller has reset the flow.
     m_queue.erase(segment.flow);
     const auto found = m_flows.find(segment.flow);
     if (found == m_flows.end()) {
-        if (mayHoldUnknownFlows(now)) {
-            // The upstream returns packets of flows that it does not hold; the search then
-            // continues.
-            sendToUpstream(bytes, now);
-        } else {
-            continueSearch(segment, std::move(bytes), "flow is not owned by this agent", now);
-        }
+        searchOwner(segment, bytes, from, false, "flow is not owned by this agent", now);
         return;
     }
     OwnedFlow &flow = found->second;
     flow.lastSeen = now;
+    flow.lastSender = from;
     if (flow.stage == FlowStage::HandedOff) {
-        followRedirect(flow.handedOffTo, segment, std::move(bytes), now);
-        return;
+        if (!flow.confirmsUpstream(segment)) {
+            followRedirect(flow.handedOffTo, segment, std::move(bytes), from, now);
+            return;
+        }
+        // The upstream answered the opening packet after the flow had been handed off, and the
+        // caller chose its answer.
+        flow.stage = FlowStage::Accepted;
     }
     if (!flow.matchesUpstream(segment)) {
         eraseFlow(segment.flow);
-        continueSearch(segment, std::move(bytes), "acknowledgement number is not of this upstream",
-                       now);
+        searchOwner(segment, bytes, from, true, "acknowledgement number is not of this upstream",
+                    now);
         return;
     }
+    if (segment.trail.hops > 0) {
+        // The sender did not know the owner, or sent the packet to an agent that redirected it.
+        sendFlowLocation(from, m_settings.self, segment.flow, flow, now);
+    }
+    deliver(segment, flow, bytes, now);
+}
+
+void AgentSteering::sendFlowLocation(const Endpoint &process, const Endpoint &owner,
+                                     const FlowKey &key, OwnedFlow &flow, Instant now)
+{
+    if (now - flow.locationSentAt >= m_settings.locationInterval) {
+        flow.locationSentAt = now;
+        m_hooks.sendFlowLocation(process, {key, owner});
+    }
+}
+
+void AgentSteering::deliver(const Segment &segment, OwnedFlow &flow, const PacketBytes &bytes,
+                            Instant now)
+{
     flow.callerAcknowledgement = segment.acknowledgement;
     if (flow.stage == FlowStage::Offered || flow.stage == FlowStage::Accepted) {
         if (flow.handshaking && flow.stage == FlowStage::Accepted) {
@@ -55,6 +75,7 @@
         setHandshaking(flow, false);
         flow.stage = FlowStage::Open;
         flow.openingPacket.clear();
+        m_locationTimers.push_back({segment.flow, now});
     }
     if (m_upstreamCrashed && segment.dataBytes > 0) {
         eraseFlow(segment.flow);
@@ -62,9 +83,6 @@
         sendReset(segment.flow, segment.acknowledgement, "upstream has crashed", now);
         return;
     }
-    if (segment.trail.hops > 0 || segment.trail.searchPosition > 0) {
-        sendFlowLocation(segment.flow, flow, now);
-    }
     if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
         setRequestRunning(flow, true, now);
     }
@@ -75,7 +93,7 @@
 }
 
 void AgentSteering::followRedirect(const Endpoint &agent, const Segment &segment, PacketBytes bytes,
-                                   Instant now)
+                                   const Endpoint &from, Instant now)
 {
     Trail trail = segment.trail;
     if (trail.hops >= m_settings.redirectHopsMax) {
@@ -84,64 +102,16 @@
             ++m_counters.packetsDropped;
             return;
         }
-        continueSearch(segment, std::move(bytes), "redirect hop limit reached", now);
+        searchOwner(segment, bytes, from, false, "redirect hop limit reached", now);
         return;
     }
     ++trail.hops;
     ++m_counters.packetsPassedOn;
     m_codec.setTrail(bytes, segment.flow, trail);
     m_hooks.sendToAgent(agent, bytes);
-}
-
-bool AgentSteering::mayHoldUnknownFlows(Instant now) const
-{
-    return now - m_startedAt < m_settings.flowLifetimeMax && !m_upstreamSilent;
-}
-
-void AgentSteering::continueSearch(const Segment &segment, PacketBytes bytes,
-                                   std::string_view reason, Instant now)
-{
-    const RouteEntry *route = m_directory.routeByAddress(segment.flow.service);
-    if (route == nullptr || segment.resets) {
-        ++m_counters.packetsDropped;
-        return;
-    }
-    const auto possibleOwners = m_directory.possibleOwners(*route, segment.flow);
-    Trail trail = segment.trail;
-    // A silent upstream does not return the packet, so it may hold the flow.
-    trail.searchIncomplete |= m_upstreamSilent && !m_upstreamCrashed;
-    while (trail.searchPosition < possibleOwners.size()
-           && possibleOwners[trail.searchPosition] == m_settings.self) {
-        ++trail.searchPosition;
-    }
-    if (trail.searchPosition >= possibleOwners.size()) {
-        onOwnerNotFound(segment, trail, now);
-        return;
-    }
-    const Endpoint next = possibleOwners[trail.searchPosition];
-    ++trail.searchPosition;
-    ++trail.hops;
-    ++m_counters.packetsPassedOn;
-    m_codec.setTrail(bytes, segment.flow, trail);
-    logDecision("pass on", reason, segment.flow, next, now);
-    m_hooks.sendToAgent(next, bytes);
-}
-
-void AgentSteering::onOwnerNotFound(const Segment &segment, const Trail &trail, Instant now)
-{
-    const auto [at, isNew] = m_failedSearches.try_emplace(segment.flow, FailedSearch {now, now});
-    at->second.last = now;
-    const bool isRetry = !isNew && now - at->second.first >= m_settings.searchRetryDelay;
-    if (!isRetry || trail.searchIncomplete || !m_hooks.mayAct(now)) {
-        ++m_counters.packetsDropped;
-        logDecision("drop",
-                    "no owner found; reset needs a second complete search and recent configuration",
-                    segment.flow, {}, now);
-        return;
+    if (!segment.opens) {
+        sendFlowLocation(from, agent, segment.flow, m_flows.at(segment.flow), now);
     }
-    m_failedSearches.erase(at);
-    ++m_counters.resetsWithoutOwner;
-    sendReset(segment.flow, segment.acknowledgement, "no owner found in two searches", now);
 }
 
 void AgentSteering::sendToUpstream(const PacketBytes &bytes, Instant now)
@@ -187,6 +157,8 @@
         // The flow was opened before this agent restarted.
         flow.stage = FlowStage::Open;
         m_expiryQueue.push_back(segment.flow);
+        m_locationTimers.push_back({segment.flow, now});
+        answerUpstreamQuery(segment.flow, true, now);
     }
     flow.lastSeen = now;
     if (segment.opens) {
@@ -221,9 +193,20 @@
     if (handedOff) {
         return;
     }
-    if (!segment.opens) {
+    if (!segment.opens && m_upstreamQueries.contains(segment.flow)) {
+        answerUpstreamQuery(segment.flow, false, now);
+        return;
+    }
+    if (!segment.opens && found != m_flows.end()) {
+        const Endpoint sender = found->second.lastSender;
         eraseFlow(segment.flow);
-        continueSearch(segment, std::move(bytes), "upstream does not hold the flow", now);
+        m_codec.setTrail(bytes, segment.flow, {});
+        searchOwner(segment, bytes, sender, true, "upstream does not hold the flow", now);
+        return;
+    }
+    if (!segment.opens) {
+        // Asked for before this agent restarted.
+        ++m_counters.packetsDropped;
         return;
     }
     eraseFlow(segment.flow);
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -40,20 +40,6 @@
     }
 }
 
-void AgentSteering::sendFlowLocation(const FlowKey &key, OwnedFlow &flow, Instant now)
-{
-    if (now - flow.locationSentAt < m_settings.locationInterval) {
-        return;
-    }
-    flow.locationSentAt = now;
-    std::size_t sent = 0;
-    for (const auto &[process, sender] : m_recentSenders) {
-        if (sent++ < m_settings.reportTargetsMax) {
-            m_hooks.sendFlowLocation(process, {key, m_settings.self});
-        }
-    }
-}
-
 LoadReport AgentSteering::makeLoadReport(Instant now) const
 {
     const LoadEstimate own = load(now);
@@ -172,7 +158,11 @@
     if (queued) {
         out.stage = "waits for a slot";
     } else if (known == m_flows.end()) {
-        out.stage = "not known here";
+        const auto location = m_search.locationOf(flow);
+        out.stage = m_search.isSearching(flow) ? "owner is searched for"
+            : location                         ? "owned by another agent"
+                                               : "not known here";
+        out.target = location.value_or(Endpoint());
     } else {
         out.stage = nameOf(known->second.stage);
         out.target = known->second.stage == FlowStage::HandedOff ? known->second.handedOffTo
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -6,6 +6,18 @@
 
 namespace bergamotglade {
 
+namespace {
+
+OwnerSearchSettings searchSettings(const AgentSteeringSettings &agent)
+{
+    OwnerSearchSettings settings;
+    settings.self = agent.self;
+    settings.locationTtl = agent.flowLifetimeMax;
+    return settings;
+}
+
+} // namespace
+
 AgentSteering::AgentSteering(AgentSteeringSettings settings, Directory &directory,
                              PacketCodec codec, AgentSteeringHooks hooks, Random random,
                              Instant now)
@@ -16,6 +28,7 @@
     , m_random(random)
     , m_peerLoads({}, std::move(random))
     , m_queue(m_settings.queueMax)
+    , m_search(searchSettings(m_settings), searchHooks())
     , m_startedAt(now)
 { }
 
@@ -30,7 +43,7 @@
         }
         onOpening(segment, std::move(bytes), from, now);
     } else {
-        onContinuation(segment, std::move(bytes), now);
+        onContinuation(segment, std::move(bytes), from, now);
     }
 }
 
@@ -38,7 +51,12 @@
                               Instant now)
 {
     const auto known = m_flows.find(segment.flow);
-    if (known != m_flows.end() && isActive(known->second.stage) && !m_upstreamSilent) {
+    // A flow that the upstream has answered stays here, even if the upstream is silent now: the
+    // caller may have chosen that answer.
+    const bool isAnswered = known != m_flows.end()
+        && (known->second.stage == FlowStage::Accepted || known->second.stage == FlowStage::Open);
+    const bool isOffered = known != m_flows.end() && known->second.stage == FlowStage::Offered;
+    if (isAnswered || (isOffered && !m_upstreamSilent)) {
         // A retransmission: the upstream answers it again.
         known->second.lastSeen = now;
         sendToUpstream(bytes, now);
@@ -53,7 +71,7 @@
     if (handedOff
         && m_peerLoads.lastReportAt(known->second.handedOffTo) > known->second.offeredAt) {
         // A retransmission for a flow that is queued at the other agent.
-        followRedirect(known->second.handedOffTo, segment, std::move(bytes), now);
+        followRedirect(known->second.handedOffTo, segment, std::move(bytes), from, now);
         return;
     }
     const RouteEntry *route = m_directory.routeByAddress(segment.flow.service);
@@ -249,6 +267,7 @@
                                     const PacketBytes &bytes, Instant now)
 {
     eraseFlow(key);
+    m_upstreamQueries.erase(key);
     OwnedFlow &flow = m_flows[key];
     m_expiryQueue.push_back(key);
     flow.lastSeen = now;
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -25,6 +25,8 @@
     checkUpstreamCrash(now);
     processQueue(now);
     expireFlows(now);
+    m_search.onTick(now);
+    reportLocations(now);
     sendLoadReports(now, false);
 }
 
@@ -154,8 +156,9 @@
             m_expiryQueue.push_back(key);
         }
     }
-    std::erase_if(m_failedSearches,
-                  [&](const auto &s) { return now - s.second.last > m_settings.failedSearchTtl; });
+    std::erase_if(m_upstreamQueries, [&](const auto &entry) {
+        return now - entry.second.firstAskedAt > m_settings.upstreamQueryTtl;
+    });
 }
 
 } // namespace bergamotglade
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -45,8 +45,8 @@
         return;
     }
     const auto found = m_flows.find(segment.flow);
-    if (found == m_flows.end() || found->second.ownerUnknown) {
-        searchOwner(segment, *route, std::move(bytes), now);
+    if (found == m_flows.end() || found->second.ownerUnknown || mayHaveEnded(found->second, now)) {
+        sendToHome(segment, *route, std::move(bytes), now);
         return;
     }
     PlacedFlow &flow = found->second;
@@ -225,34 +225,59 @@
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-void BalancerSteering::searchOwner(const Segment &segment, const RouteEntry &route,
-                                   PacketBytes bytes, Instant now)
+bool BalancerSteering::mayHaveEnded(const PlacedFlow &flow, Instant now) const
 {
+    return m_directory.upstreamByAgent(flow.agent) == nullptr
+        && now - flow.locatedAt > m_settings.departedRecheckInterval;
+}
+
+void BalancerSteering::sendToHome(const Segment &segment, const RouteEntry &route,
+                                  PacketBytes bytes, Instant now)
+{
+    const FlowHomes homes = homesOf(m_directory.possibleOwners(route), segment.flow);
     // A reset of an unknown flow is not worth a search.
-    if (segment.resets) {
-        ++m_counters.packetsDropped;
-        return;
-    }
-    const auto possibleOwners = m_directory.possibleOwners(route, segment.flow);
-    if (possibleOwners.empty()) {
+    if (segment.resets || homes.count == 0) {
         ++m_counters.packetsDropped;
         return;
     }
     ++m_counters.packetsSearched;
     const auto [known, isNew] = m_flows.try_emplace(segment.flow);
+    PlacedFlow &flow = known->second;
     if (isNew) {
         m_expiryQueue.push_back(segment.flow);
-        known->second.ownerUnknown = true;
-        known->second.established = true;
     }
-    known->second.lastSeen = now;
+    if (!flow.ownerUnknown) {
+        flow.ownerUnknown = true;
+        flow.established = true;
+        flow.openingPacket.clear();
+        flow.searchedSince = now;
+        flow.agent = Endpoint();
+    }
+    flow.lastSeen = now;
+    const Endpoint home = chooseHome(homes, flow, now);
+    if (home != flow.agent) {
+        flow.agent = home;
+        logDecision("search", "owner is not known", segment.flow, home, now);
+    }
+    // The hop tells the home, if it is the owner itself, to report that.
     Trail trail;
-    // With announced upstreams the agents may rank the possible owners differently, so they begin
-    // with the first of their own list.
-    trail.searchPosition = m_directory.hasAnnouncedUpstreams() ? 0 : 1;
+    trail.hops = 1;
     m_codec.setTrail(bytes, segment.flow, trail);
-    logDecision("search", "owner is not known", segment.flow, possibleOwners.front(), now);
-    m_hooks.sendToAgent(possibleOwners.front(), bytes);
+    m_hooks.sendToAgent(home, bytes);
+}
+
+Endpoint BalancerSteering::chooseHome(const FlowHomes &homes, const PlacedFlow &flow,
+                                      Instant now) const
+{
+    const auto attempt = static_cast<std::size_t>((now - flow.searchedSince)
+                                                  / std::max(m_settings.homeTimeout, Millis(1)));
+    for (const Endpoint &home : homes) {
+        const bool isHeard = now - m_peerLoads.lastReportAt(home) <= m_settings.homeReportAgeMax;
+        if (!isSuspect(home, now) && (attempt == 0 || isHeard)) {
+            return home;
+        }
+    }
+    return homes.agents[attempt % homes.count];
 }
 
 void BalancerSteering::rejectFlow(const Segment &segment, std::string_view reason, Instant now)
@@ -297,6 +322,7 @@
     found->second.agent = located.agent;
     found->second.ownerUnknown = false;
     found->second.established = true;
+    found->second.locatedAt = now;
 }
 
 bool BalancerSteering::hasReportedSinceOffer(const PlacedFlow &flow) const
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -14,6 +14,10 @@
 /// Each service and each failure domain is a section of its own in the view. No two define the same
 /// name, so all can have the same order.
 constexpr std::size_t SectionOrder = 1;
+/// Departed upstreams that are remembered; at the target size three leave per minute.
+constexpr std::size_t DepartedMax = 1024;
+/// A message with this many former owners fits into one datagram.
+constexpr std::size_t FormerOwnersPerAnswerMax = 24;
 
 Finding sectionFinding(const SectionChange &change, const Error &error)
 {
@@ -29,6 +33,7 @@
 
 Findings Directory::applySection(const SectionChange &change, Instant now)
 {
+    m_possibleOwners.clear();
     const std::string &name = change.name.str();
     if (change.name == RootName) {
         return applyRoutes(change, now);
@@ -68,7 +73,7 @@
         for (const WeightedService &service : before.services) {
             if (!routeIncludes(after->second, service.name)) {
                 m_formerServices[address].push_back(
-                    {service.name, now + m_settings.formerServiceTime});
+                    {service.name, now + m_settings.flowLifetimeMax});
             }
         }
     }
@@ -95,13 +100,13 @@
         if (change.lapsed && !known->second.entry.leaving) {
             known->second.removeAt = now + m_settings.lapsedEntryGrace;
         } else {
-            eraseUpstream(id);
+            eraseUpstream(id, now);
         }
         return {};
     }
     auto entry = decodeUpstream(change.text);
     if (!entry || entry.value().id != id) {
-        eraseUpstream(id);
+        eraseUpstream(id, now);
         return {sectionFinding(
             change,
             entry ? Error {ErrorCode::BadDocument, "id in the entry differs from the section name"}
@@ -110,13 +115,17 @@
     // An address belongs to the upstream that registered it last.
     const auto holder = m_byAddress.find(entry.value().address);
     if (holder != m_byAddress.end() && holder->second != id) {
-        eraseUpstream(UpstreamId(holder->second));
+        eraseUpstream(UpstreamId(holder->second), now);
     }
     const std::optional<ServiceName> before =
         known == m_upstreams.end() ? std::nullopt : std::optional(known->second.entry.service);
     if (before) {
-        m_byAddress.erase(m_upstreams[id].entry.address);
-        m_byAgent.erase(m_upstreams[id].entry.agent);
+        const UpstreamEntry &previous = known->second.entry;
+        m_byAddress.erase(previous.address);
+        m_byAgent.erase(previous.agent);
+        if (previous.agent != entry.value().agent || previous.service != entry.value().service) {
+            addDeparted(previous.service, previous.agent, now + m_settings.flowLifetimeMax);
+        }
     }
     KnownUpstream upstream;
     upstream.entry = std::move(entry.value());
@@ -146,28 +155,80 @@
     rebuildAllTables();
 }
 
-void Directory::eraseUpstream(const UpstreamId &id)
+void Directory::eraseUpstream(const UpstreamId &id, Instant now)
 {
     const auto known = m_upstreams.find(id);
     if (known == m_upstreams.end()) {
         return;
     }
     const ServiceName service = known->second.entry.service;
+    addDeparted(service, known->second.entry.agent, now + m_settings.flowLifetimeMax);
     m_byAddress.erase(known->second.entry.address);
     m_byAgent.erase(known->second.entry.agent);
     m_upstreams.erase(known);
     rebuildTables(service);
 }
 
-bool Directory::isSettled(Instant now) const
+void Directory::addDeparted(const ServiceName &service, const Endpoint &agent, Instant until)
 {
-    return hasRoutes() && now - m_firstRoutesAt >= m_settings.settlingTime;
+    // An entry that is gone proves nothing about open flows: entries lapse while the platform is
+    // away, and an upstream keeps its flows while it drains.
+    m_possibleOwners.clear();
+    for (DepartedUpstream &known : m_departed) {
+        if (known.agent == agent && known.service == service) {
+            known.until = std::max(known.until, until);
+            return;
+        }
+    }
+    if (m_departed.size() < DepartedMax) {
+        m_departed.push_back({service, agent, until});
+    }
+}
+
+std::vector<FormerOwner> Directory::formerOwners(const RouteEntry &route, Instant now) const
+{
+    std::vector<FormerOwner> owners;
+    const auto former = m_formerServices.find(route.address);
+    if (former != m_formerServices.end()) {
+        for (const FormerService &f : former->second) {
+            owners.push_back({f.service, {}, f.until - now});
+        }
+    }
+    for (const DepartedUpstream &departed : m_departed) {
+        const bool isListed = routeIncludes(route, departed.service)
+            || std::any_of(owners.begin(), owners.end(), [&](const FormerOwner &owner) {
+                                  return owner.service == departed.service;
+                              });
+        if (isListed && owners.size() < FormerOwnersPerAnswerMax) {
+            owners.push_back({departed.service, departed.agent, departed.until - now});
+        }
+    }
+    return owners;
 }
 
-bool Directory::hasAnnouncedUpstreams() const
+void Directory::learnFormerOwners(const RouteEntry &route, const std::vector<FormerOwner> &owners,
+                                  Instant now)
 {
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(),
-                       [](const auto &entry) { return entry.second.announced; });
+    for (const FormerOwner &owner : owners) {
+        const Instant until = now + std::min(owner.remaining, m_settings.flowLifetimeMax);
+        if (owner.agent != Endpoint()) {
+            addDeparted(owner.service, owner.agent, until);
+            continue;
+        }
+        std::vector<FormerService> &former = m_formerServices[route.address];
+        const bool isKnown = routeIncludes(route, owner.service)
+            || std::any_of(former.begin(), former.end(),
+                           [&](const FormerService &f) { return f.service == owner.service; });
+        if (!isKnown) {
+            former.push_back({owner.service, until});
+            m_possibleOwners.clear();
+        }
+    }
+}
+
+bool Directory::isSettled(Instant now) const
+{
+    return hasRoutes() && now - m_firstRoutesAt >= m_settings.settlingTime;
 }
 
 bool Directory::announce(const Announcement &announcement, Instant now)
@@ -187,6 +248,7 @@
     m_byAddress[announcement.address] = id;
     m_byAgent[announcement.agent] = id;
     rebuildTables(announcement.service);
+    m_possibleOwners.clear();
     return true;
 }
 
@@ -203,12 +265,18 @@
         }
     }
     for (const UpstreamId &id : expired) {
-        eraseUpstream(id);
+        eraseUpstream(id, now);
     }
+    std::size_t forgotten = 0;
     for (auto &[address, former] : m_formerServices) {
-        std::erase_if(former, [&](const FormerService &f) { return now >= f.until; });
+        forgotten += std::erase_if(former, [&](const FormerService &f) { return now >= f.until; });
     }
     std::erase_if(m_formerServices, [](const auto &f) { return f.second.empty(); });
+    forgotten +=
+        std::erase_if(m_departed, [&](const DepartedUpstream &d) { return now >= d.until; });
+    if (forgotten > 0) {
+        m_possibleOwners.clear();
+    }
     return !expired.empty();
 }
 
@@ -297,8 +365,12 @@
     return found == m_homeTables.end() ? nullptr : &found->second;
 }
 
-std::vector<Endpoint> Directory::possibleOwners(const RouteEntry &route, const FlowKey &flow) const
+const PossibleOwners &Directory::possibleOwners(const RouteEntry &route) const
 {
+    const auto known = m_possibleOwners.find(route.address);
+    if (known != m_possibleOwners.end()) {
+        return known->second;
+    }
     std::vector<ServiceName> services;
     for (const WeightedService &service : route.services) {
         services.push_back(service.name);
@@ -309,21 +381,21 @@
             services.push_back(f.service);
         }
     }
-    std::vector<std::pair<double, Endpoint>> ranked;
-    const Bucket bucket = bucketOf(flow);
-    for (const auto &[id, known] : m_upstreams) {
-        if (std::find(services.begin(), services.end(), known.entry.service) != services.end()) {
-            const double score = rendezvousScore(hashBytes(id.str()), bucket, Weight(1));
-            ranked.emplace_back(-score, known.entry.agent);
+    const auto isListed = [&](const ServiceName &service) {
+        return std::find(services.begin(), services.end(), service) != services.end();
+    };
+    std::vector<PossibleOwner> owners;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (isListed(upstream.entry.service)) {
+            owners.push_back({upstream.entry.agent, false});
         }
     }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<Endpoint> agents;
-    agents.reserve(ranked.size());
-    for (const auto &[score, agent] : ranked) {
-        agents.push_back(agent);
+    for (const DepartedUpstream &departed : m_departed) {
+        if (isListed(departed.service)) {
+            owners.push_back({departed.agent, true});
+        }
     }
-    return agents;
+    return m_possibleOwners.emplace(route.address, PossibleOwners(std::move(owners))).first->second;
 }
 
 bool Directory::routeIncludes(const RouteEntry &route, const ServiceName &service)
--- a/src/steering/flow_explanation.cpp
+++ b/src/steering/flow_explanation.cpp
@@ -24,10 +24,10 @@
         return {};
     }
     std::vector<FlowCandidate> candidates;
-    for (const Endpoint &agent : directory.possibleOwners(*route, flow)) {
+    for (const Endpoint &agent : directory.possibleOwners(*route).searchOrder(flow)) {
         FlowCandidate candidate;
         candidate.agent = agent;
-        candidate.state = "upstream is not known";
+        candidate.state = "upstream has departed";
         if (const KnownUpstream *known = directory.upstreamByAgent(agent)) {
             candidate.upstream = known->entry.id;
             candidate.domain = known->entry.domain;
--- /dev/null
+++ b/src/steering/possible_owners.cpp
@@ -0,0 +1,91 @@
+#include <bergamotglade/detail/steering/possible_owners.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace bergamotglade {
+
+namespace {
+
+/// Place of an agent in the search order of a flow; ties are broken by address.
+std::pair<std::uint64_t, Endpoint> placeOf(const FlowKey &flow, const Endpoint &agent)
+{
+    return {hashPair(flow.hash(), agent.packed()), agent};
+}
+
+} // namespace
+
+PossibleOwners::PossibleOwners(std::vector<PossibleOwner> owners)
+    : m_owners(std::move(owners))
+{
+    // Elements of one agent are adjacent, the one that has not departed first.
+    std::sort(m_owners.begin(), m_owners.end());
+    const auto sameAgent = [](const PossibleOwner &a, const PossibleOwner &b) {
+        return a.agent == b.agent;
+    };
+    m_owners.erase(std::unique(m_owners.begin(), m_owners.end(), sameAgent), m_owners.end());
+}
+
+const PossibleOwner *PossibleOwners::find(const Endpoint &agent) const
+{
+    const auto found = std::lower_bound(
+        m_owners.begin(), m_owners.end(), agent,
+        [](const PossibleOwner &owner, const Endpoint &key) { return owner.agent < key; });
+    return found == m_owners.end() || found->agent != agent ? nullptr : &*found;
+}
+
+std::uint64_t PossibleOwners::digest() const noexcept
+{
+    std::uint64_t digest = 0;
+    for (const PossibleOwner &owner : m_owners) {
+        digest = hashPair(digest, owner.agent.packed());
+    }
+    return digest;
+}
+
+std::vector<Endpoint> PossibleOwners::searchOrder(const FlowKey &flow) const
+{
+    std::vector<std::pair<std::uint64_t, Endpoint>> places;
+    places.reserve(m_owners.size());
+    for (const PossibleOwner &owner : m_owners) {
+        places.push_back(placeOf(flow, owner.agent));
+    }
+    std::sort(places.begin(), places.end());
+    std::vector<Endpoint> order;
+    order.reserve(places.size());
+    for (const auto &[place, agent] : places) {
+        order.push_back(agent);
+    }
+    return order;
+}
+
+FlowHomes homesOf(const PossibleOwners &owners, const FlowKey &flow)
+{
+    using Place = std::pair<std::uint64_t, Endpoint>;
+    std::array<Place, FlowHomeCount> best {};
+    FlowHomes homes;
+    for (const PossibleOwner &owner : owners.list()) {
+        if (owner.departed) {
+            continue;
+        }
+        const Place place = placeOf(flow, owner.agent);
+        std::size_t at = homes.count;
+        while (at > 0 && place < best[at - 1]) {
+            --at;
+        }
+        if (at == FlowHomeCount) {
+            continue;
+        }
+        homes.count = std::min(homes.count + 1, FlowHomeCount);
+        std::move_backward(best.begin() + static_cast<std::ptrdiff_t>(at),
+                           best.begin() + static_cast<std::ptrdiff_t>(homes.count) - 1,
+                           best.begin() + static_cast<std::ptrdiff_t>(homes.count));
+        best[at] = place;
+    }
+    for (std::size_t i = 0; i < homes.count; ++i) {
+        homes.agents[i] = best[i].second;
+    }
+    return homes;
+}
+
+} // namespace bergamotglade
--- a/tests/small_fleet.hpp
+++ b/tests/small_fleet.hpp
@@ -10,7 +10,8 @@
 /// domain "a", the others are in "b".
 struct SmallFleet : SteeringFleet
 {
-    explicit SmallFleet(double coldPerSecond = 0, std::size_t upstreams = 3)
+    explicit SmallFleet(double coldPerSecond = 0, std::size_t upstreams = 3, std::uint64_t seed = 1)
+        : SteeringFleet(seed)
     {
         publish(routeSection({{"kits", 1}}, coldPerSecond));
         for (std::size_t i = 0; i < upstreams; ++i) {
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -11,6 +11,7 @@
 constexpr Millis NetworkDelay {1};
 constexpr Millis Tick {20};
 constexpr std::uint16_t PacketPort = 8172;
+constexpr std::uint16_t UpstreamPort = 8165;
 constexpr std::uint32_t CallerNet = 0x64400000; // 100.64.0.0
 constexpr std::uint32_t AgentNet = 0x0a010000; // 10.1.0.0
 constexpr std::uint32_t BalancerNet = 0x0a020000; // 10.2.0.0
@@ -147,6 +148,22 @@
     m_balancers[balancer].directory->applySection(change, m_now);
 }
 
+void SteeringFleet::publishAtAgent(std::size_t agent, const SectionChange &change)
+{
+    m_agents[agent].directory->applySection(change, m_now);
+}
+
+SectionChange SteeringFleet::upstreamSectionAt(std::uint32_t host)
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId("other" + std::to_string(host));
+    entry.service = ServiceName("kits");
+    entry.domain = FailureDomainId("a");
+    entry.agent = {AgentNet + host, PacketPort};
+    entry.address = {AgentNet + host, UpstreamPort};
+    return {SectionName(std::string(UpstreamPrefix) + entry.id.str()), Revision(1), encode(entry)};
+}
+
 void SteeringFleet::announceAtBalancer(std::size_t balancer, std::size_t index)
 {
     const SimulatedUpstream &upstream = m_upstreams[index];
@@ -161,19 +178,13 @@
     const std::size_t index = m_upstreams.size();
     SimulatedUpstream upstream;
     upstream.agent = {AgentNet + static_cast<std::uint32_t>(index) + 1, PacketPort};
-    upstream.address = {upstream.agent.address, 8165};
+    upstream.address = {upstream.agent.address, UpstreamPort};
     upstream.service = ServiceName(service);
     upstream.domain = FailureDomainId(domain);
     upstream.initialSequence = 1000 * static_cast<std::uint32_t>(index + 1);
     m_upstreams.push_back(std::move(upstream));
     m_agents.emplace_back();
-    auto directory = std::make_unique<Directory>();
-    if (knowsRoutes) {
-        for (const SectionChange &change : m_published) {
-            directory->applySection(change, m_now);
-        }
-    }
-    startAgent(index, std::move(directory));
+    startAgent(index, knowsRoutes ? makeDirectory() : std::make_unique<Directory>());
     if (registered) {
         publish(upstreamSection(index));
     }
@@ -190,13 +201,21 @@
 
 void SteeringFleet::restartBalancer(std::size_t index, bool knowsRoutes)
 {
+    startBalancer(index, knowsRoutes ? makeDirectory() : std::make_unique<Directory>());
+}
+
+std::unique_ptr<Directory> SteeringFleet::makeDirectory() const
+{
+    // The platform tells a process that has just started nothing of earlier sections.
+    std::map<SectionName, SectionChange> newest;
+    for (const SectionChange &change : m_published) {
+        newest[change.name] = change;
+    }
     auto directory = std::make_unique<Directory>();
-    if (knowsRoutes) {
-        for (const SectionChange &change : m_published) {
-            directory->applySection(change, m_now);
-        }
+    for (const auto &[name, change] : newest) {
+        directory->applySection(change, m_now);
     }
-    startBalancer(index, std::move(directory));
+    return directory;
 }
 
 void SteeringFleet::startBalancer(std::size_t index, std::unique_ptr<Directory> directory)
@@ -219,9 +238,9 @@
                                            std::move(hooks), seededRandom(m_seed + index));
 }
 
-void SteeringFleet::restartAgent(std::size_t index)
+void SteeringFleet::restartAgent(std::size_t index, bool newDirectory)
 {
-    startAgent(index, std::move(m_agents[index].directory));
+    startAgent(index, newDirectory ? makeDirectory() : std::move(m_agents[index].directory));
 }
 
 void SteeringFleet::startAgent(std::size_t index, std::unique_ptr<Directory> directory)
@@ -270,6 +289,24 @@
                     m_balancers[i].steering->onFlowLocated(located, m_now);
                 }
             }
+            const std::size_t peer = indexOf(to);
+            if (peer < m_agents.size()) {
+                m_agents[peer].steering->onFlowLocations({located.agent, {located.flow}}, m_now);
+            }
+        });
+    };
+    hooks.sendFlowQuery = [this, index](const Endpoint &to, const FlowQuery &query) {
+        controlToAgent(index, to, [this, query](AgentSteering &agent) {
+            agent.onFlowQuery(query, m_codec.fromCaller(query.packet).value(), m_now);
+        });
+    };
+    hooks.sendFlowAnswer = [this, index](const Endpoint &to, const FlowAnswer &answer) {
+        controlToAgent(index, to,
+                       [this, answer](AgentSteering &agent) { agent.onFlowAnswer(answer, m_now); });
+    };
+    hooks.sendFlowLocations = [this, index](const Endpoint &to, const FlowLocations &locations) {
+        controlToAgent(index, to, [this, locations](AgentSteering &agent) {
+            agent.onFlowLocations(locations, m_now);
         });
     };
     hooks.knownProcesses = [this] {
@@ -287,6 +324,21 @@
         seededRandom(m_seed + AgentSeedOffset + index), m_now);
 }
 
+void SteeringFleet::controlToAgent(std::size_t from, const Endpoint &to,
+                                   std::function<void(AgentSteering &)> deliver)
+{
+    if (unreachableAgents.contains(from)) {
+        return;
+    }
+    ++controlMessagesBetweenAgents;
+    schedule(NetworkDelay, [this, to, deliver = std::move(deliver)] {
+        const std::size_t peer = indexOf(to);
+        if (peer < m_agents.size() && !unreachableAgents.contains(peer)) {
+            runAtAgent([this, peer, deliver] { deliver(*m_agents[peer].steering); });
+        }
+    });
+}
+
 std::size_t SteeringFleet::indexOf(const Endpoint &agent) const
 {
     std::size_t index = 0;
@@ -468,6 +520,21 @@
                                   std::string(RequestBytes, 'r')));
 }
 
+void SteeringFleet::finishFlow(std::size_t index, std::uint32_t bytes)
+{
+    const CallerFlow &flow = m_callers[index];
+    transmitFromUpstream(
+        upstreamOf(index),
+        makePacket(flow.key, false, Ack | Fin, flow.upstreamInitialSequence + 1 + bytes, 2));
+}
+
+void SteeringFleet::acknowledge(std::size_t index, std::uint32_t bytes)
+{
+    const CallerFlow &flow = m_callers[index];
+    transmitFromCaller(
+        index, makePacket(flow.key, true, Ack, 2, flow.upstreamInitialSequence + 1 + bytes));
+}
+
 std::size_t SteeringFleet::upstreamOf(std::size_t index) const
 {
     for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -77,10 +77,14 @@
     void publish(const SectionChange &change);
     /// @brief Applies a section at one balancer only, which then differs from all other processes.
     void publishAtBalancer(std::size_t balancer, const SectionChange &change);
+    /// @brief Applies a section at one agent only.
+    void publishAtAgent(std::size_t agent, const SectionChange &change);
     /// @brief Announces an upstream to one balancer, as its agent would.
     void announceAtBalancer(std::size_t balancer, std::size_t upstream);
     [[nodiscard]] SectionChange upstreamSection(std::size_t upstream, bool leaving = false,
                                                 Millis coldDuration = {}) const;
+    /// @brief Entry of an upstream of the service "kits" that is not part of the fleet.
+    [[nodiscard]] static SectionChange upstreamSectionAt(std::uint32_t host);
     [[nodiscard]] static SectionChange
     routeSection(const std::vector<std::pair<std::string, std::uint32_t>> &services,
                  double coldPerSecond = 0);
@@ -95,9 +99,15 @@
     std::size_t openFlow(std::size_t balancer, bool withoutRequest = false);
     /// @brief Sends a request on an open flow and clears its `answered`.
     void sendRequest(std::size_t flow);
+    /// @brief Lets the upstream of a flow send its last packet, after `bytes` of data.
+    void finishFlow(std::size_t flow, std::uint32_t bytes);
+    /// @brief Sends an acknowledgement of `bytes` received on a flow, without data.
+    void acknowledge(std::size_t flow, std::uint32_t bytes);
     void resendOpening(std::size_t flow) { sendOpening(flow, 0); }
-    /// @brief Replaces an agent by one that knows no flows. Its directory is kept.
-    void restartAgent(std::size_t upstream);
+    /// @brief Replaces an agent by one that knows no flows.
+    /// @param newDirectory whether its directory starts with the newest section of each name; else
+    /// the directory is kept
+    void restartAgent(std::size_t upstream, bool newDirectory = false);
     /// @brief Replaces a balancer by one that knows no flows.
     /// @param knowsRoutes whether it starts with all sections published so far
     void restartBalancer(std::size_t balancer, bool knowsRoutes = true);
@@ -120,6 +130,8 @@
     /// @brief Number of flows that were reset.
     [[nodiscard]] std::size_t resetCount() const;
 
+    /// Number of queries, answers and locations that agents have sent to each other.
+    std::uint64_t controlMessagesBetweenAgents = 0;
     /// Indices of agents that send and receive no packets and whose timers do not run.
     std::set<std::size_t> unreachableAgents;
     /// False simulates an outdated configuration view at all balancers.
@@ -162,6 +174,8 @@
     void startAgent(std::size_t index, std::unique_ptr<Directory> directory);
     void startBalancer(std::size_t index, std::unique_ptr<Directory> directory);
     void transmitToAgent(const Endpoint &agent, const PacketBytes &bytes, const Endpoint &from);
+    void controlToAgent(std::size_t from, const Endpoint &to,
+                        std::function<void(AgentSteering &)> deliver);
     void onPacketToUpstream(std::size_t index, const PacketBytes &bytes);
     void transmitToCaller(const Endpoint &caller, const PacketBytes &bytes);
     void transmitFromUpstream(std::size_t index, PacketBytes bytes);
@@ -186,6 +200,9 @@
     std::unordered_map<FlowKey, std::size_t> m_callerOf;
     /// Upstreams selected by chooseUpstream, by flow.
     std::unordered_map<std::size_t, std::size_t> m_placed;
+    /// Directory that knows the newest published section of each name.
+    [[nodiscard]] std::unique_ptr<Directory> makeDirectory() const;
+
     std::vector<SectionChange> m_published;
     std::uint64_t m_revision = 0;
     bool m_ticking = false;
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -5,6 +5,8 @@
 #include <packet_codec.hpp>
 #include <store_items.hpp>
 
+#include <bergamotglade/detail/core/json_guard.hpp>
+
 #include <boost/beast/core/detail/base64.hpp>
 
 #include <gtest/gtest.h>
@@ -118,20 +120,27 @@
     (void)codec.fromUpstream(bytes);
 }
 
+TEST(PacketCodec, IgnoresTheTrailOfAnotherFlow)
+{
+    const PacketCodec codec = platform::packetCodec();
+    PacketBytes own = makePacket({{7, 1}, {3, 4}}, true, Ack, 9, 10);
+    codec.setTrail(own, {{7, 1}, {3, 4}}, {3, Millis()});
+    PacketBytes other = makePacket({{8, 1}, {3, 4}}, true, Ack, 9, 10);
+    std::copy(own.begin() + 6, own.begin() + 10, other.begin() + 6);
+    EXPECT_EQ(codec.fromCaller(own).value().trail.hops, 3);
+    EXPECT_EQ(codec.fromCaller(other).value().trail, Trail {});
+}
+
 RC_GTEST_PROP(PacketCodecProperty, TrailRoundTripsThroughAnUpstreamAndChangesNoOtherByte,
-              (std::uint8_t hops, std::uint8_t position, bool incomplete, std::uint8_t flags,
-               std::uint16_t port))
+              (std::uint8_t hops, std::uint8_t heldUnits, std::uint8_t flags, std::uint16_t port))
 {
     const PacketCodec codec = platform::packetCodec();
     const FlowKey flow {{7, port}, {3, 4}};
     const auto plain = static_cast<std::uint8_t>(flags & ~Returned);
     Trail trail;
-    trail.hops = static_cast<std::uint8_t>(hops & 0x7fU);
-    trail.searchIncomplete = incomplete;
+    trail.hops = hops;
     if ((plain & Syn) != 0) {
-        trail.heldTime = Millis(10) * position;
-    } else {
-        trail.searchPosition = position;
+        trail.heldTime = Millis(10) * heldUnits;
     }
     const PacketBytes before = makePacket(flow, true, plain, 9, 10, std::string(50, 'd'));
     PacketBytes after = before;
@@ -144,10 +153,7 @@
         const bool isTrailByte = i >= 6 && i < 10;
         RC_ASSERT(isTrailByte || before[i] == after[i]);
     }
-    // The zeros that callers and upstreams write are not a trail. `other`, a packet with the trail
-    // of another flow, is not decoded here.
-    PacketBytes other = makePacket({{8, port}, {3, 4}}, true, plain, 9, 10, std::string(50, 'd'));
-    std::copy(after.begin() + 6, after.begin() + 10, other.begin() + 6);
+    // The zeros that callers and upstreams write are not a trail.
     RC_ASSERT(codec.fromCaller(before).value().trail == Trail {});
 }
 
@@ -197,6 +203,18 @@
         R"({"service":"s","address":"10.0.0.1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
         R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":-1,"state":"ready","cold_remaining_ms":0})",
         R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"odd","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:70000","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:0","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1e31,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1.5,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1e999,"state":"ready","cold_remaining_ms":0})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":9e18})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":9223372036854775807})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":-1})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0,"born":-5})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0,"born":1e31})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","cold_remaining_ms":0,"x":)"
+            + std::string(100, '[') + std::string(100, ']') + '}',
     };
     for (const std::string &value : invalidValues) {
         const auto read =
@@ -212,6 +230,38 @@
     }
 }
 
+TEST(StorePage, DeeplyNestedItemTakesNoMemory)
+{
+    // Without a limit, each bracket would allocate an array of its own: 40 bytes and more for each
+    // byte of the item, of which a page may hold a megabyte.
+    const std::string value(700'000, '[');
+    const auto read = platform::readStorePage(
+        storeReply(storeItem("servers/bad", value, 1) + ',' + storeItem("op/config", value, 2) + ','
+                   + storeItem("servers/i-1", ServerValue, 5)),
+        AgentPort);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read.value().changes.size(), 3U);
+    EXPECT_NE(read.value().changes[0].text.find("bytes"), std::string::npos);
+    EXPECT_NE(read.value().changes[1].text.find("nested"), std::string::npos);
+    Directory directory;
+    EXPECT_FALSE(hasErrors(directory.applySection(read.value().changes[2], Instant())));
+}
+
+TEST(StorePage, RevisionOutOfRangeIsAnError)
+{
+    for (const std::string revision : {"1.1e31", "-1", "1.5", "\"7\"", "18446744073709551616"}) {
+        const std::string reply = R"({"items":[],"has_more":false,"as_of":)" + revision + '}';
+        EXPECT_FALSE(platform::readStorePage(reply, AgentPort)) << revision;
+    }
+}
+
+TEST(JsonDepth, IgnoresBracketsInStrings)
+{
+    EXPECT_EQ(jsonDepth(R"([{"a":"[[[\"[["}])"), 2U);
+    EXPECT_EQ(jsonDepth("]]]"), 0U);
+    EXPECT_EQ(jsonDepth("[[[["), 4U);
+}
+
 TEST(StorePage, InvalidBase64ValueIsRejected)
 {
     const std::string good = storeItem("servers/i-1", ServerValue, 5);
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -120,11 +120,11 @@
     directory.applySection(SteeringFleet::routeSection({{"documents", 1}}), Start);
     const RouteEntry &route = *directory.routeByAddress(SteeringFleet::RouteAddress);
     const FlowKey flow {{1, 1}, SteeringFleet::RouteAddress};
-    EXPECT_EQ(directory.possibleOwners(route, flow).size(), 2U);
+    EXPECT_EQ(directory.possibleOwners(route).list().size(), 2U);
     EXPECT_EQ(Directory::serviceFor(route, flow), ServiceName("documents"));
     // Former services are searched for 60 s.
     directory.expire(Start + Millis(61'000));
-    EXPECT_EQ(directory.possibleOwners(route, flow).size(), 1U);
+    EXPECT_EQ(directory.possibleOwners(route).list().size(), 1U);
 }
 
 TEST(Directory, SplitsNewFlowsByWeight)
