--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 
 namespace bergamotglade {
 
@@ -40,12 +41,22 @@
     /// `asksReaders` also queries the second VM by rank. VMs that are not readers start to read the
     /// platform one after the other: the first by rank above two, each further one above one more.
     Millis readerTimeout {3000};
+    /// After an answer with changes, the next watch starts this much later. Each answer is a call
+    /// that counts, and changes come in series: upstreams register again after an outage, a release
+    /// replaces one after the other.
+    Millis changeCoalescingTime {0};
     Millis retryMin {500}; ///< first retry delay after a platform failure
     Millis retryMax {30'000}; ///< longest retry delay after a platform failure
     Millis vmListInterval {3'600'000}; ///< between two reads of the VM list
     Mechanisms mechanisms;
     /// Processes per failure domain that read the platform: those with the lowest ranks.
     std::size_t readersPerDomain = 2;
+    /// Failure domains whose VMs read the platform all the time; the same ones in all processes.
+    /// The first VM of each other domain asks their readers.
+    std::size_t readingDomains = std::numeric_limits<std::size_t>::max();
+    /// The VMs of the other domains start to read this much later than they would otherwise: their
+    /// view is confirmed by way of up to two more processes.
+    Millis passiveDomainDelay {900};
     /// Added to the reader rank of a VM that is missing from the VM list, so that it takes over
     /// later.
     std::size_t unlistedRank = 8;
@@ -163,6 +174,9 @@
     void applyBatch(const ChangeBatch &batch, Instant now);
     void confirm(Instant since);
     void updateReaders(const std::vector<Vm> &vms);
+    void updateReadingDomains(const std::vector<Vm> &vms);
+    /// @brief Age of the platform's confirmation above which other processes are asked for it.
+    [[nodiscard]] Millis staleAge() const;
     [[nodiscard]] bool isReplyOverdue(Instant now) const;
     void updateAgents();
     void askReaders(Instant now);
@@ -180,6 +194,8 @@
 
     std::vector<Vm> m_vms;
     std::vector<Endpoint> m_vmsByRank; ///< listed VMs of the own failure domain, readers first
+    bool m_isDomainPassive = false; ///< the own failure domain is not one of the reading ones
+    std::vector<Endpoint> m_remoteReaders; ///< first VM of each reading domain other than the own
     std::deque<Endpoint> m_recentPeers; ///< peers heard from recently, newest last
     /// Peers named in the replies received while the view was not confirmed.
     std::deque<Endpoint> m_introducedPeers;
--- a/include/bergamotglade/detail/net/datagram_codec.hpp
+++ b/include/bergamotglade/detail/net/datagram_codec.hpp
@@ -20,8 +20,9 @@
 };
 
 /// Any message that a process receives over UDP.
-using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated,
-                              BalancerHeartbeat, FlowQuery, FlowAnswer, FlowLocations>;
+using Datagram =
+    std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated, BalancerHeartbeat,
+                 FlowQuery, FlowAnswer, FlowLocations, OwnersQuery, OwnersList>;
 
 [[nodiscard]] std::string encode(const CallerFrame &frame);
 [[nodiscard]] std::string encode(const DataPacket &packet);
@@ -32,6 +33,8 @@
 [[nodiscard]] std::string encode(const FlowQuery &query);
 [[nodiscard]] std::string encode(const FlowAnswer &answer);
 [[nodiscard]] std::string encode(const FlowLocations &locations);
+[[nodiscard]] std::string encode(const OwnersQuery &query);
+[[nodiscard]] std::string encode(const OwnersList &list);
 
 /// @brief Decodes any datagram.
 /// @param bytes the datagram as received
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -65,32 +65,33 @@
 struct FlowQuery
 {
     Endpoint sender;
-    /// Digest of the agents that may own the flow in the view of the sender.
-    std::uint64_t ownersDigest = 0;
     std::string packet; ///< as its caller wrote it
 };
 
-/// An agent or a service that may own flows of a route although the configuration does not say so
-/// any more: processes that have started since cannot know it.
-struct FormerOwner
-{
-    ServiceName service;
-    Endpoint
-        agent; ///< agent of a departed upstream; zero if the service was removed from the route
-    Millis remaining {}; ///< time after which it owns no flow
-};
-
 /// Reply to a FlowQuery.
 struct FlowAnswer
 {
     FlowKey flow;
     Endpoint agent; ///< agent that answers
     bool owned = false;
-    /// Digest of the agents that may own the flow in the view of the sender: the flow has no owner
-    /// only if all of them say so and list the same agents.
+    /// Digest of the agents that may own flows of the route in the view of the answering agent. It
+    /// may list more than the asking agent, which then asks for the list.
     std::uint64_t ownersDigest = 0;
-    /// Former owners known to the sender, if the digest of the query differs.
-    std::vector<FormerOwner> formerOwners;
+};
+
+/// Asks an agent for the possible owners of the flows of one route.
+struct OwnersQuery
+{
+    Endpoint sender;
+    Endpoint route; ///< address of the route
+};
+
+/// Reply to an OwnersQuery.
+struct OwnersList
+{
+    Endpoint route;
+    std::uint64_t digest = 0;
+    std::vector<Endpoint> agents;
 };
 
 /// Tells the homes of long flows who owns them.
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -145,6 +145,8 @@
     std::function<void(const Endpoint &agent, const FlowQuery &)> sendFlowQuery;
     std::function<void(const Endpoint &agent, const FlowAnswer &)> sendFlowAnswer;
     std::function<void(const Endpoint &agent, const FlowLocations &)> sendFlowLocations;
+    std::function<void(const Endpoint &agent, const OwnersQuery &)> sendOwnersQuery;
+    std::function<void(const Endpoint &agent, const OwnersList &)> sendOwnersList;
     /// All known processes; they receive the load reports until the directory has settled.
     std::function<std::vector<Endpoint>()> knownProcesses;
     /// Whether the configuration view is recent enough to act on.
@@ -170,6 +172,8 @@
     /// @param segment the decoded packet
     void onFlowQuery(const FlowQuery &query, const Segment &segment, Instant now);
     void onFlowAnswer(const FlowAnswer &answer, Instant now) { m_search.onAnswer(answer, now); }
+    void onOwnersQuery(const OwnersQuery &query);
+    void onOwnersList(const OwnersList &list, Instant now) { m_search.onOwnersList(list, now); }
     void onFlowLocations(const FlowLocations &locations, Instant now)
     {
         m_search.onLocations(locations, now);
@@ -199,7 +203,7 @@
     /// The upstream was asked for a flow that this agent does not know.
     struct UpstreamQuery
     {
-        std::vector<FlowQuery> askers; ///< queries of agents that wait for the answer
+        std::vector<Endpoint> askers; ///< agents that wait for the answer
         /// The upstream does not hold the flow. It would only if this agent offered it.
         bool denied = false;
         Instant firstAskedAt;
@@ -247,15 +251,14 @@
     void sendFlowLocation(const Endpoint &process, const Endpoint &owner, const FlowKey &key,
                           OwnedFlow &flow, Instant now);
     [[nodiscard]] OwnerSearchHooks searchHooks();
-    /// @param asker query of another agent, or null
     [[nodiscard]] OwnUpstreamState askUpstream(const FlowKey &flow, const PacketBytes &bytes,
-                                               const FlowQuery *asker, Instant now);
+                                               std::optional<Endpoint> asker, Instant now);
     /// @brief Ends the questions for a flow, with the upstream's packet as the proof.
     void answerUpstreamQuery(const FlowKey &flow, bool owned, Instant now);
-    [[nodiscard]] FlowAnswer makeAnswer(const FlowKey &flow, bool owned, std::uint64_t digest,
-                                        Instant now) const;
-    [[nodiscard]] const PossibleOwners *possibleOwnersOf(const FlowKey &flow) const;
-    [[nodiscard]] std::uint64_t possibleOwnersDigest(const FlowKey &flow) const;
+    [[nodiscard]] FlowAnswer makeAnswer(const FlowKey &flow, bool owned) const;
+    /// @brief Possible owners of the flows of a route; null if there is no route.
+    [[nodiscard]] const PossibleOwners *possibleOwnersOf(const Endpoint &route) const;
+    [[nodiscard]] std::uint64_t listedDigestOf(const Endpoint &route) const;
     /// @brief Tells the homes of the flows that have become long their owner.
     void reportLocations(Instant now);
     void sendToUpstream(const PacketBytes &bytes, Instant now);
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -2,7 +2,6 @@
 /// Routes and upstreams of a steered deployment, as known to one process.
 #pragma once
 
-#include <bergamotglade/detail/node/packet.hpp>
 #include <bergamotglade/detail/routing/candidates.hpp>
 #include <bergamotglade/detail/steering/entries.hpp>
 #include <bergamotglade/detail/steering/possible_owners.hpp>
@@ -83,16 +82,16 @@
     [[nodiscard]] const ServiceTable *serviceTable(const ServiceName &service) const;
     /// @brief Like serviceTable(), limited to the upstreams of the home failure domain.
     [[nodiscard]] const ServiceTable *homeServiceTable(const ServiceName &service) const;
-    /// @brief Agents that may own flows of a route, departed ones included.
+    /// @brief Agents that may own flows of a route: those of its upstreams and former services, of
+    /// departed upstreams, and those that other agents listed.
     /// @return valid until the directory changes
     /// @complexity constant; n log n in the upstreams at the first call after a change
     [[nodiscard]] const PossibleOwners &possibleOwners(const RouteEntry &route) const;
-    /// @brief Services and agents that may own flows of a route although the newest sections do not
-    /// say so.
-    [[nodiscard]] std::vector<FormerOwner> formerOwners(const RouteEntry &route, Instant now) const;
-    /// @brief Adds what another process knows of former owners.
-    void learnFormerOwners(const RouteEntry &route, const std::vector<FormerOwner> &owners,
-                           Instant now);
+    /// @brief The same without those that only other agents listed.
+    [[nodiscard]] const PossibleOwners &listedOwners(const RouteEntry &route) const;
+    /// @brief Adds possible owners that another agent lists. This process cannot know them if it
+    /// has started after the change that removed them from the configuration.
+    void addPossibleOwners(const Endpoint &route, const std::vector<Endpoint> &agents, Instant now);
     /// @brief Whether new flows of the route may go to the service.
     [[nodiscard]] static bool routeIncludes(const RouteEntry &route, const ServiceName &service);
 
@@ -121,6 +120,11 @@
         Instant until;
     };
 
+    struct OwnersOfRoute
+    {
+        PossibleOwners listed;
+        PossibleOwners all;
+    };
     struct DepartedUpstream
     {
         ServiceName service;
@@ -132,7 +136,9 @@
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change);
     void eraseUpstream(const UpstreamId &id, Instant now);
-    void addDeparted(const ServiceName &service, const Endpoint &agent, Instant until);
+    void addDeparted(const UpstreamEntry &entry, Instant now);
+    [[nodiscard]] const OwnersOfRoute &ownersOf(const RouteEntry &route) const;
+    [[nodiscard]] OwnersOfRoute collectOwners(const RouteEntry &route) const;
     void rebuildTables(const ServiceName &service);
     void rebuildAllTables();
     void buildTable(std::map<ServiceName, ServiceTable> &tables,
@@ -148,8 +154,10 @@
     std::unordered_map<Endpoint, UpstreamId> m_byAddress;
     std::unordered_map<Endpoint, UpstreamId> m_byAgent;
     std::vector<DepartedUpstream> m_departed;
+    /// Agents that other agents listed, by route, with the time until which they may own flows.
+    std::unordered_map<Endpoint, std::map<Endpoint, Instant>> m_ownersOfOthers;
     /// Results of possibleOwners(), by route; cleared at every change.
-    mutable std::unordered_map<Endpoint, PossibleOwners> m_possibleOwners;
+    mutable std::unordered_map<Endpoint, OwnersOfRoute> m_possibleOwners;
     ConfigView m_view;
     std::map<ServiceName, ServiceTable> m_tables;
     std::map<ServiceName, ServiceTable> m_homeTables;
--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace bergamotglade {
 
@@ -25,11 +26,15 @@
     Millis queryRetryMax {400};
     /// A flow has no owner only if this has passed since its search began: the lists of two
     /// processes differ for a moment after a change.
-    Millis absenceConfirmationTime {250};
+    Millis absenceConfirmationTime {150};
     /// An agent whose upstream has departed and that left this many queries unanswered over
     /// departedTimeout is gone together with its upstream.
     std::uint32_t departedQueriesMin = 3;
     Millis departedTimeout {600};
+    /// Minimum interval between two questions to one agent for its list of possible owners.
+    Millis listQueryInterval {100};
+    /// A list of possible owners of another agent is remembered for this long.
+    Millis listTtl {30'000};
     Millis searchTtl {3000}; ///< a search ends this long after the caller's last packet
     std::size_t searchesMax = 4096;
     /// Packets kept per search for the owner; a caller has at most 16 in flight.
@@ -64,12 +69,16 @@
 /// Output and queries of the searches.
 struct OwnerSearchHooks
 {
-    /// Possible owners of a flow; null if it has no route.
-    std::function<const PossibleOwners *(const FlowKey &)> possibleOwners;
+    /// Possible owners of the flows of a route; null if there is no route.
+    std::function<const PossibleOwners *(const Endpoint &route)> possibleOwners;
+    /// Digest of those of them that no other agent had to name; 0 if there is no route.
+    std::function<std::uint64_t(const Endpoint &route)> listedDigest;
+    /// Adds possible owners that another agent lists.
+    std::function<void(const Endpoint &route, const std::vector<Endpoint> &agents, Instant)>
+        addPossibleOwners;
     std::function<OwnUpstreamState(const FlowKey &, const PacketBytes &, Instant)> askOwnUpstream;
     std::function<void(const Endpoint &agent, const FlowQuery &)> sendQuery;
-    /// Adds former owners of a flow that another agent knows to possibleOwners.
-    std::function<void(const FlowKey &, const std::vector<FormerOwner> &, Instant)> learnOwners;
+    std::function<void(const Endpoint &agent, const OwnersQuery &)> sendOwnersQuery;
     /// Sends a packet to the owner, which may be this agent.
     std::function<void(const Endpoint &agent, const PacketBytes &, Instant)> sendToOwner;
     std::function<void(const Endpoint &process, const FlowLocated &)> sendLocation;
@@ -83,8 +92,9 @@
 };
 
 /// State machine without I/O. Asks the possible owners of a flow, a few at a time, with a packet of
-/// the flow; its owner delivers the packet and says so. Keeps the locations that owners of long
-/// flows report and that earlier searches found.
+/// the flow; its owner delivers the packet and says so. A flow has no owner if all agents that any
+/// of the asked agents lists have denied it. Keeps the locations that owners of long flows report
+/// and that earlier searches found.
 class OwnerSearch
 {
 public:
@@ -97,6 +107,8 @@
                   bool isDenied, Instant now);
     /// @brief Handles the answer of an agent, or of this agent for its own upstream.
     void onAnswer(const FlowAnswer &answer, Instant now);
+    /// @brief Handles the list of possible owners of another agent.
+    void onOwnersList(const OwnersList &list, Instant now);
     /// @brief Stores the owner of flows, as reported by it.
     void onLocations(const FlowLocations &locations, Instant now);
     /// @brief Must be called at least every 20 ms.
@@ -109,14 +121,20 @@
     [[nodiscard]] const OwnerSearchCounters &counters() const noexcept { return m_counters; }
 
 private:
+    /// An agent that was asked and has not answered yet.
     struct Query
     {
+        Endpoint agent;
         std::uint32_t sent = 0;
         Instant firstSentAt;
         Instant lastSentAt;
         Instant retryAt;
-        /// Digest of the possible owners at the agent that answered "not mine".
-        std::optional<std::uint64_t> deniedWithDigest;
+    };
+    /// Identifies the list of possible owners of an agent that denied the flow.
+    struct ListOfAgent
+    {
+        std::uint64_t digest = 0;
+        Endpoint agent;
     };
     struct Search
     {
@@ -126,11 +144,16 @@
         std::vector<PacketBytes> held; ///< for the owner, once it is found
         std::vector<Endpoint> origins;
         std::optional<Endpoint> locatedOwner; ///< asked before all others
+        bool ownUpstreamAsked = false;
         std::vector<Endpoint> order;
-        std::uint64_t digest = 0;
-        std::unordered_map<Endpoint, Query> queries;
+        std::size_t next = 0; ///< next element of `order` to be asked
+        std::unordered_set<Endpoint> asked;
+        std::vector<Query> unanswered;
+        std::vector<ListOfAgent> denials; ///< one element for each digest
+        std::uint64_t ownersDigest = 0; ///< of the possible owners in `order`
         Instant startedAt;
         Instant lastPacketAt;
+        Instant dueAt; ///< nothing changes before, unless an answer arrives
     };
     struct Location
     {
@@ -148,15 +171,25 @@
     /// @brief Asks further agents or concludes the search.
     /// @return whether the search has ended
     bool advance(const FlowKey &flow, Search &search, Instant now);
-    /// @brief Asks only `agent` until it answers.
-    /// @return whether the search has to wait for it
-    bool waitFor(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now);
-    void sendQuery(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now);
-    [[nodiscard]] bool isOutstanding(const Query &query, Instant now) const;
+    /// @brief Asks the located owner and the own upstream, before all others.
+    /// @return whether the search has to wait for one of them
+    bool askLikelyOwners(const FlowKey &flow, Search &search, const PossibleOwners &owners,
+                         Instant now);
+    void askOthers(const FlowKey &flow, Search &search, const PossibleOwners &owners, Instant now);
+    /// @brief Adds possible owners that have become known since the search began.
+    static void addNewOwners(const FlowKey &flow, Search &search, const PossibleOwners &owners);
+    /// @brief Whether all agents that any of the asked agents lists have denied the flow.
+    bool isDeniedByAll(const FlowKey &flow, const Search &search, const PossibleOwners &owners,
+                       Instant now);
+    void ask(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now);
+    /// @return false if it was the own upstream, which does not hold the flow
+    bool sendQuery(const FlowKey &flow, const Search &search, Query &query, Instant now);
+    void setDueTime(Search &search, Instant now) const;
+    [[nodiscard]] bool isWaiting(const Query &query, Instant now) const;
     /// @brief Whether an agent whose upstream has departed has left enough queries unanswered.
-    [[nodiscard]] bool isGone(const PossibleOwner &owner, const Search &search, Instant now) const;
-    /// @brief Whether the agent has denied the flow and lists the same possible owners.
-    [[nodiscard]] static bool hasDenied(const Search &search, const Endpoint &agent);
+    [[nodiscard]] bool isGone(const PossibleOwners &owners, const Query &query, Instant now) const;
+    /// @brief Whether possibleOwners contains a list of another agent; if not, asks for the list.
+    bool isListKnown(const Endpoint &route, const ListOfAgent &list, Instant now);
     void storeLocation(const FlowKey &flow, const Endpoint &owner, bool confirmed, Instant now);
 
     OwnerSearchSettings m_settings;
@@ -164,6 +197,10 @@
     Searches m_searches;
     std::unordered_map<FlowKey, Location> m_locations;
     std::deque<FlowTimer> m_locationTimers; ///< oldest first
+    /// Lists of other agents that possibleOwners contains, by digest, with the time of their
+    /// arrival.
+    std::unordered_map<std::uint64_t, Instant> m_knownLists;
+    std::unordered_map<Endpoint, Instant> m_listQueriedAt; ///< by agent
     OwnerSearchCounters m_counters;
 };
 
--- a/include/bergamotglade/detail/steering/possible_owners.hpp
+++ b/include/bergamotglade/detail/steering/possible_owners.hpp
@@ -37,7 +37,7 @@
     /// @complexity logarithmic
     [[nodiscard]] const PossibleOwner *find(const Endpoint &agent) const;
     /// @brief Hash of the agents; differs between processes whose lists differ.
-    [[nodiscard]] std::uint64_t digest() const noexcept;
+    [[nodiscard]] std::uint64_t digest() const noexcept { return m_digest; }
     /// @brief Agents in the order in which they are asked for a flow. An agent that only one of two
     /// processes lists does not change the order of the others.
     /// @complexity n log n
@@ -45,6 +45,7 @@
 
 private:
     std::vector<PossibleOwner> m_owners;
+    std::uint64_t m_digest = 0;
 };
 
 /// Number of agents that are told the owner of a long flow.
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -74,6 +74,12 @@
         hooks.onFlowAnswer = [this](const FlowAnswer &answer) {
             m_steering->onFlowAnswer(answer, Clock::now());
         };
+        hooks.onOwnersQuery = [this](const OwnersQuery &query) {
+            m_steering->onOwnersQuery(query);
+        };
+        hooks.onOwnersList = [this](const OwnersList &list) {
+            m_steering->onOwnersList(list, Clock::now());
+        };
         hooks.onFlowLocations = [this](const FlowLocations &locations) {
             m_steering->onFlowLocations(locations, Clock::now());
         };
@@ -148,6 +154,12 @@
         hooks.sendFlowAnswer = [this](const Endpoint &agent, const FlowAnswer &answer) {
             m_runtime->sendControl(agent, encode(answer));
         };
+        hooks.sendOwnersQuery = [this](const Endpoint &agent, const OwnersQuery &query) {
+            m_runtime->sendControl(agent, encode(query));
+        };
+        hooks.sendOwnersList = [this](const Endpoint &agent, const OwnersList &list) {
+            m_runtime->sendControl(agent, encode(list));
+        };
         hooks.sendFlowLocations = [this](const Endpoint &agent, const FlowLocations &locations) {
             m_runtime->sendControl(agent, encode(locations));
         };
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -20,6 +20,7 @@
 // the platform).
 constexpr Millis GossipInterval {400};
 constexpr Millis ReaderTimeout {600};
+constexpr Millis ChangeCoalescingTime {150};
 /// Time without a reply from any agent after which a process considers itself isolated. The fabric
 /// takes up to one second more to notice that a balancer is not ready.
 constexpr Millis IsolationTimeout {1000};
@@ -133,10 +134,12 @@
         settings.vm = VmId(settings.self.str());
         settings.gossipInterval = GossipInterval;
         settings.readerTimeout = ReaderTimeout;
+        settings.changeCoalescingTime = ChangeCoalescingTime;
         settings.isolationTimeout = IsolationTimeout;
         settings.retryMin = PlatformRetryMin;
         settings.retryMax = PlatformRetryMax;
         settings.readersPerDomain = 1;
+        settings.readingDomains = 2;
         settings.unlistedRank = 1;
         settings.asksReaders = true;
     };
@@ -148,6 +151,8 @@
         dispatch(datagram, m_hooks.onFlowQuery);
         dispatch(datagram, m_hooks.onFlowAnswer);
         dispatch(datagram, m_hooks.onFlowLocations);
+        dispatch(datagram, m_hooks.onOwnersQuery);
+        dispatch(datagram, m_hooks.onOwnersList);
         dispatch(datagram, m_hooks.onHeartbeat);
     };
     hooks.onChange = [this] {
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -25,6 +25,8 @@
     std::function<void(const FlowQuery &)> onFlowQuery;
     std::function<void(const FlowAnswer &)> onFlowAnswer;
     std::function<void(const FlowLocations &)> onFlowLocations;
+    std::function<void(const OwnersQuery &)> onOwnersQuery;
+    std::function<void(const OwnersList &)> onOwnersList;
     /// @}
     /// Set by balancers only.
     std::function<void(const BalancerHeartbeat &)> onHeartbeat;
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -1,6 +1,7 @@
 #include <bergamotglade/detail/dissemination/dissemination.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace bergamotglade {
 
@@ -22,6 +23,8 @@
 constexpr std::size_t AgentsPerQuery = 3;
 /// Rounds of these queries in each gossip interval.
 constexpr std::int64_t AgentQueriesPerInterval = 4;
+/// Seed of the hash that ranks failure domains as readers of the platform.
+constexpr std::uint64_t ReadingDomainSeed = 0x9ead;
 /// With asksReaders, one gossip round in this many also contacts a random peer.
 constexpr std::uint64_t RoundsPerRandomPeer = 4;
 
@@ -147,13 +150,20 @@
 
 bool Dissemination::shouldReadPlatform(Instant now) const
 {
-    if (m_readerRank < m_settings.readersPerDomain) {
+    if (m_readerRank < m_settings.readersPerDomain && !m_isDomainPassive) {
         return true;
     }
     // The first rank after the readers waits two time-outs, each further rank one more, so that
     // VMs take over one at a time.
-    const auto position = static_cast<std::int64_t>(m_readerRank - m_settings.readersPerDomain + 1);
-    return platformAge(now) > m_settings.readerTimeout * (position + 1);
+    const auto position = static_cast<std::int64_t>(m_readerRank)
+        - static_cast<std::int64_t>(m_settings.readersPerDomain) + 1;
+    return platformAge(now) > m_settings.readerTimeout * position + staleAge();
+}
+
+Millis Dissemination::staleAge() const
+{
+    return m_settings.readerTimeout
+        + (m_isDomainPassive ? m_settings.passiveDomainDelay : Millis(0));
 }
 
 Millis Dissemination::platformAge(Instant now) const
@@ -176,7 +186,8 @@
     mayAct(now);
     m_platformReadPending = false;
     m_platformRetry = m_settings.retryMin;
-    m_nextPlatformRead = now;
+    const bool hasChanges = batch.upTo > m_store.revision() && m_store.hasRoot();
+    m_nextPlatformRead = now + (hasChanges ? m_settings.changeCoalescingTime : Millis(0));
     if (batch.upTo < m_store.revision() && m_settings.mechanisms.neverRevert) {
         // The platform serves an older state. Keep ours and back off, as it may stay stale.
         ++m_counters.platformStale;
@@ -250,7 +261,15 @@
 {
     // The first reader is enough while it replies; if it fails, the second is asked as well,
     // usually after one lost round.
-    const bool stale = platformAge(now) > m_settings.readerTimeout || isReplyOverdue(now);
+    const bool stale = platformAge(now) > staleAge() || isReplyOverdue(now);
+    if (m_isDomainPassive && !m_remoteReaders.empty()
+        && m_readerRank < m_settings.readersPerDomain) {
+        const std::size_t count = stale ? m_remoteReaders.size() : 1;
+        for (std::size_t i = 0; i < count; ++i) {
+            sendNotice(m_remoteReaders[(m_gossipRounds + i) % m_remoteReaders.size()], true, 0,
+                       now);
+        }
+    }
     const std::size_t asked = std::min<std::size_t>(stale ? 2 : 1, m_vmsByRank.size());
     for (std::size_t i = 0; i < asked; ++i) {
         if (m_vmsByRank[i] != m_settings.self) {
@@ -369,8 +388,51 @@
     }
 }
 
+void Dissemination::updateReadingDomains(const std::vector<Vm> &vms)
+{
+    // By rendezvous hashing as in updateReaders(): the same domains, and in each the same VM, in
+    // all processes with the same list.
+    struct Domain
+    {
+        std::uint64_t score = 0;
+        FailureDomainId id;
+        std::uint64_t readerScore = std::numeric_limits<std::uint64_t>::max();
+        Endpoint reader;
+    };
+    std::map<FailureDomainId, Domain> domains;
+    domains[m_settings.domain].id = m_settings.domain;
+    for (const Vm &vm : vms) {
+        if (vm.leaving) {
+            continue;
+        }
+        Domain &domain = domains[vm.domain];
+        domain.id = vm.domain;
+        const std::uint64_t score = hashPair(hashBytes(vm.domain.str()), hashBytes(vm.id.str()));
+        if (score < domain.readerScore) {
+            domain.readerScore = score;
+            domain.reader = vm.endpoint;
+        }
+    }
+    std::vector<Domain> ranked;
+    for (auto &[id, domain] : domains) {
+        domain.score = hashBytes(id.str(), ReadingDomainSeed);
+        ranked.push_back(domain);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const Domain &a, const Domain &b) { return a.score < b.score; });
+    m_isDomainPassive = ranked.size() > m_settings.readingDomains;
+    m_remoteReaders.clear();
+    for (std::size_t i = 0; i < std::min(ranked.size(), m_settings.readingDomains); ++i) {
+        m_isDomainPassive = m_isDomainPassive && ranked[i].id != m_settings.domain;
+        if (ranked[i].id != m_settings.domain && ranked[i].reader != Endpoint()) {
+            m_remoteReaders.push_back(ranked[i].reader);
+        }
+    }
+}
+
 void Dissemination::updateReaders(const std::vector<Vm> &vms)
 {
+    updateReadingDomains(vms);
     // Rendezvous hashing, so that all processes with the same list compute the same ranks.
     const std::uint64_t domainHash = hashBytes(m_settings.domain.str());
     const auto score = [&](const VmId &vm) {
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -17,7 +17,9 @@
     BalancerHeartbeat,
     FlowQuery,
     FlowAnswer,
-    FlowLocations
+    FlowLocations,
+    OwnersQuery,
+    OwnersList
 };
 
 constexpr std::size_t ListItemsMax = 4096;
@@ -261,7 +263,6 @@
 {
     FlowQuery query;
     query.sender = in.endpoint();
-    query.ownersDigest = in.number();
     query.packet = in.bytes();
     return query;
 }
@@ -273,18 +274,26 @@
     answer.agent = in.endpoint();
     answer.owned = in.flag();
     answer.ownersDigest = in.number();
-    in.list([&](FieldReader &items) {
-        items.record([&](FieldReader &item) {
-            FormerOwner owner;
-            owner.service = ServiceName(item.bytes());
-            owner.agent = item.endpoint();
-            owner.remaining = item.millis();
-            answer.formerOwners.push_back(std::move(owner));
-        });
-    });
     return answer;
 }
 
+OwnersQuery readOwnersQuery(FieldReader &in)
+{
+    OwnersQuery query;
+    query.sender = in.endpoint();
+    query.route = in.endpoint();
+    return query;
+}
+
+OwnersList readOwnersList(FieldReader &in)
+{
+    OwnersList list;
+    list.route = in.endpoint();
+    list.digest = in.number();
+    in.list([&](FieldReader &items) { list.agents.push_back(items.endpoint()); });
+    return list;
+}
+
 FlowLocations readFlowLocations(FieldReader &in)
 {
     FlowLocations locations;
@@ -461,23 +470,36 @@
 
 std::string encode(const FlowQuery &query)
 {
-    constexpr std::uint32_t Fields = 3;
+    constexpr std::uint32_t Fields = 2;
     FieldWriter out(MessageKind::FlowQuery, Fields);
-    out.endpoint(query.sender).number(query.ownersDigest).bytes(query.packet);
+    out.endpoint(query.sender).bytes(query.packet);
     return out.result();
 }
 
 std::string encode(const FlowAnswer &answer)
 {
-    constexpr std::uint32_t Fields = 6;
-    constexpr std::size_t FormerOwnerFields = 3;
+    constexpr std::uint32_t Fields = 5;
     FieldWriter out(MessageKind::FlowAnswer, Fields);
     writeFlow(out, answer.flow);
     out.endpoint(answer.agent).flag(answer.owned).number(answer.ownersDigest);
-    out.list(answer.formerOwners.size());
-    for (const FormerOwner &owner : answer.formerOwners) {
-        out.list(FormerOwnerFields).bytes(owner.service.str()).endpoint(owner.agent);
-        out.millis(owner.remaining);
+    return out.result();
+}
+
+std::string encode(const OwnersQuery &query)
+{
+    constexpr std::uint32_t Fields = 2;
+    FieldWriter out(MessageKind::OwnersQuery, Fields);
+    out.endpoint(query.sender).endpoint(query.route);
+    return out.result();
+}
+
+std::string encode(const OwnersList &list)
+{
+    constexpr std::uint32_t Fields = 3;
+    FieldWriter out(MessageKind::OwnersList, Fields);
+    out.endpoint(list.route).number(list.digest).list(list.agents.size());
+    for (const Endpoint &agent : list.agents) {
+        out.endpoint(agent);
     }
     return out.result();
 }
@@ -533,6 +555,10 @@
         return decodeAsDatagram(bytes, readFlowAnswer);
     case MessageKind::FlowLocations:
         return decodeAsDatagram(bytes, readFlowLocations);
+    case MessageKind::OwnersQuery:
+        return decodeAsDatagram(bytes, readOwnersQuery);
+    case MessageKind::OwnersList:
+        return decodeAsDatagram(bytes, readOwnersList);
     case MessageKind::Handover:
         break;
     }
--- a/src/steering/agent_queries.cpp
+++ b/src/steering/agent_queries.cpp
@@ -11,28 +11,36 @@
     return !m_settings.isFirstStart && now - m_startedAt < m_settings.flowLifetimeMax;
 }
 
-const PossibleOwners *AgentSteering::possibleOwnersOf(const FlowKey &flow) const
+const PossibleOwners *AgentSteering::possibleOwnersOf(const Endpoint &route) const
 {
-    const RouteEntry *route = m_directory.routeByAddress(flow.service);
-    return route == nullptr ? nullptr : &m_directory.possibleOwners(*route);
+    const RouteEntry *entry = m_directory.routeByAddress(route);
+    return entry == nullptr ? nullptr : &m_directory.possibleOwners(*entry);
+}
+
+std::uint64_t AgentSteering::listedDigestOf(const Endpoint &route) const
+{
+    const RouteEntry *entry = m_directory.routeByAddress(route);
+    return entry == nullptr ? 0 : m_directory.listedOwners(*entry).digest();
 }
 
 OwnerSearchHooks AgentSteering::searchHooks()
 {
     OwnerSearchHooks hooks;
-    hooks.possibleOwners = [this](const FlowKey &flow) {
-        return possibleOwnersOf(flow);
+    hooks.possibleOwners = [this](const Endpoint &route) {
+        return possibleOwnersOf(route);
+    };
+    hooks.listedDigest = [this](const Endpoint &route) {
+        return listedDigestOf(route);
+    };
+    hooks.addPossibleOwners = [this](const Endpoint &route, const std::vector<Endpoint> &agents,
+                                     Instant now) {
+        m_directory.addPossibleOwners(route, agents, now);
     };
     hooks.askOwnUpstream = [this](const FlowKey &flow, const PacketBytes &bytes, Instant now) {
-        return askUpstream(flow, bytes, nullptr, now);
+        return askUpstream(flow, bytes, std::nullopt, now);
     };
     hooks.sendQuery = m_hooks.sendFlowQuery;
-    hooks.learnOwners = [this](const FlowKey &flow, const std::vector<FormerOwner> &owners,
-                               Instant now) {
-        if (const RouteEntry *route = m_directory.routeByAddress(flow.service)) {
-            m_directory.learnFormerOwners(*route, owners, now);
-        }
-    };
+    hooks.sendOwnersQuery = m_hooks.sendOwnersQuery;
     hooks.sendToOwner = [this](const Endpoint &agent, const PacketBytes &bytes, Instant now) {
         if (agent == m_settings.self) {
             sendToUpstream(bytes, now);
@@ -40,9 +48,7 @@
             m_hooks.sendToAgent(agent, bytes);
         }
     };
-    hooks.sendLocation = [this](const Endpoint &process, const FlowLocated &located) {
-        m_hooks.sendFlowLocation(process, located);
-    };
+    hooks.sendLocation = m_hooks.sendFlowLocation;
     hooks.onAbsent = [this](const FlowKey &flow, std::uint32_t acknowledgement, Instant now) {
         ++m_counters.resetsWithoutOwner;
         sendReset(flow, acknowledgement, "no possible owner holds the flow", now);
@@ -72,7 +78,7 @@
 }
 
 OwnUpstreamState AgentSteering::askUpstream(const FlowKey &flow, const PacketBytes &bytes,
-                                            const FlowQuery *asker, Instant now)
+                                            std::optional<Endpoint> asker, Instant now)
 {
     const auto known = m_upstreamQueries.find(flow);
     const bool isKnown = known != m_upstreamQueries.end();
@@ -84,11 +90,9 @@
         return OwnUpstreamState::Unreachable;
     }
     UpstreamQuery &query = m_upstreamQueries[flow];
-    const auto isSameAsker = [&](const FlowQuery &other) {
-        return other.sender == asker->sender;
-    };
-    if (asker != nullptr && std::none_of(query.askers.begin(), query.askers.end(), isSameAsker)) {
-        query.askers.push_back({asker->sender, asker->ownersDigest, {}});
+    if (asker
+        && std::find(query.askers.begin(), query.askers.end(), *asker) == query.askers.end()) {
+        query.askers.push_back(*asker);
     }
     if (!isKnown || now - query.lastAskedAt >= m_settings.upstreamQueryInterval) {
         query.firstAskedAt = isKnown ? query.firstAskedAt : now;
@@ -104,34 +108,23 @@
     if (found == m_upstreamQueries.end()) {
         return;
     }
-    const std::vector<FlowQuery> askers = std::move(found->second.askers);
+    const std::vector<Endpoint> askers = std::move(found->second.askers);
     if (owned) {
         m_upstreamQueries.erase(found);
     } else {
         found->second.askers.clear();
         found->second.denied = true;
     }
-    for (const FlowQuery &asker : askers) {
-        m_hooks.sendFlowAnswer(asker.sender, makeAnswer(flow, owned, asker.ownersDigest, now));
+    const FlowAnswer answer = makeAnswer(flow, owned);
+    for (const Endpoint &asker : askers) {
+        m_hooks.sendFlowAnswer(asker, answer);
     }
-    m_search.onAnswer({flow, m_settings.self, owned, possibleOwnersDigest(flow), {}}, now);
+    m_search.onAnswer(answer, now);
 }
 
-std::uint64_t AgentSteering::possibleOwnersDigest(const FlowKey &flow) const
+FlowAnswer AgentSteering::makeAnswer(const FlowKey &flow, bool owned) const
 {
-    const PossibleOwners *owners = possibleOwnersOf(flow);
-    return owners == nullptr ? 0 : owners->digest();
-}
-
-FlowAnswer AgentSteering::makeAnswer(const FlowKey &flow, bool owned, std::uint64_t digest,
-                                     Instant now) const
-{
-    FlowAnswer answer {flow, m_settings.self, owned, possibleOwnersDigest(flow), {}};
-    const RouteEntry *route = m_directory.routeByAddress(flow.service);
-    if (!owned && route != nullptr && answer.ownersDigest != digest) {
-        answer.formerOwners = m_directory.formerOwners(*route, now);
-    }
-    return answer;
+    return {flow, m_settings.self, owned, listedDigestOf(flow.service)};
 }
 
 void AgentSteering::onFlowQuery(const FlowQuery &query, const Segment &segment, Instant now)
@@ -145,8 +138,7 @@
         if (found->second.stage == FlowStage::HandedOff) {
             found->second.stage = FlowStage::Accepted;
         }
-        m_hooks.sendFlowAnswer(query.sender,
-                               makeAnswer(segment.flow, true, query.ownersDigest, now));
+        m_hooks.sendFlowAnswer(query.sender, makeAnswer(segment.flow, true));
         deliver(segment, found->second, query.packet, now);
         return;
     }
@@ -156,11 +148,24 @@
     }
     const OwnUpstreamState state = found != m_flows.end()
         ? OwnUpstreamState::NotHeld
-        : askUpstream(segment.flow, query.packet, &query, now);
+        : askUpstream(segment.flow, query.packet, query.sender, now);
     if (state == OwnUpstreamState::NotHeld) {
-        m_hooks.sendFlowAnswer(query.sender,
-                               makeAnswer(segment.flow, false, query.ownersDigest, now));
+        m_hooks.sendFlowAnswer(query.sender, makeAnswer(segment.flow, false));
+    }
+}
+
+void AgentSteering::onOwnersQuery(const OwnersQuery &query)
+{
+    const RouteEntry *route = m_directory.routeByAddress(query.route);
+    if (route == nullptr) {
+        return;
+    }
+    const PossibleOwners &owners = m_directory.listedOwners(*route);
+    OwnersList list {query.route, owners.digest(), {}};
+    for (const PossibleOwner &owner : owners.list()) {
+        list.agents.push_back(owner.agent);
     }
+    m_hooks.sendOwnersList(query.sender, list);
 }
 
 void AgentSteering::reportLocations(Instant now)
@@ -171,7 +176,7 @@
         const FlowKey key = m_locationTimers.front().flow;
         m_locationTimers.pop_front();
         const auto found = m_flows.find(key);
-        const PossibleOwners *owners = possibleOwnersOf(key);
+        const PossibleOwners *owners = possibleOwnersOf(key.service);
         if (found == m_flows.end() || found->second.stage != FlowStage::Open || owners == nullptr) {
             continue;
         }
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t SectionOrder = 1;
 /// Departed upstreams that are remembered; at the target size three leave per minute.
 constexpr std::size_t DepartedMax = 1024;
-/// A message with this many former owners fits into one datagram.
-constexpr std::size_t FormerOwnersPerAnswerMax = 24;
 
 Finding sectionFinding(const SectionChange &change, const Error &error)
 {
@@ -124,7 +122,7 @@
         m_byAddress.erase(previous.address);
         m_byAgent.erase(previous.agent);
         if (previous.agent != entry.value().agent || previous.service != entry.value().service) {
-            addDeparted(previous.service, previous.agent, now + m_settings.flowLifetimeMax);
+            addDeparted(previous, now);
         }
     }
     KnownUpstream upstream;
@@ -162,68 +160,40 @@
         return;
     }
     const ServiceName service = known->second.entry.service;
-    addDeparted(service, known->second.entry.agent, now + m_settings.flowLifetimeMax);
+    addDeparted(known->second.entry, now);
     m_byAddress.erase(known->second.entry.address);
     m_byAgent.erase(known->second.entry.agent);
     m_upstreams.erase(known);
     rebuildTables(service);
 }
 
-void Directory::addDeparted(const ServiceName &service, const Endpoint &agent, Instant until)
+void Directory::addDeparted(const UpstreamEntry &entry, Instant now)
 {
     // An entry that is gone proves nothing about open flows: entries lapse while the platform is
     // away, and an upstream keeps its flows while it drains.
     m_possibleOwners.clear();
-    for (DepartedUpstream &known : m_departed) {
-        if (known.agent == agent && known.service == service) {
-            known.until = std::max(known.until, until);
-            return;
-        }
-    }
+    std::erase_if(m_departed, [&](const DepartedUpstream &departed) {
+        return departed.agent == entry.agent && departed.service == entry.service;
+    });
     if (m_departed.size() < DepartedMax) {
-        m_departed.push_back({service, agent, until});
-    }
-}
-
-std::vector<FormerOwner> Directory::formerOwners(const RouteEntry &route, Instant now) const
-{
-    std::vector<FormerOwner> owners;
-    const auto former = m_formerServices.find(route.address);
-    if (former != m_formerServices.end()) {
-        for (const FormerService &f : former->second) {
-            owners.push_back({f.service, {}, f.until - now});
-        }
-    }
-    for (const DepartedUpstream &departed : m_departed) {
-        const bool isListed = routeIncludes(route, departed.service)
-            || std::any_of(owners.begin(), owners.end(), [&](const FormerOwner &owner) {
-                                  return owner.service == departed.service;
-                              });
-        if (isListed && owners.size() < FormerOwnersPerAnswerMax) {
-            owners.push_back({departed.service, departed.agent, departed.until - now});
-        }
+        m_departed.push_back({entry.service, entry.agent, now + m_settings.flowLifetimeMax});
     }
-    return owners;
 }
 
-void Directory::learnFormerOwners(const RouteEntry &route, const std::vector<FormerOwner> &owners,
+void Directory::addPossibleOwners(const Endpoint &route, const std::vector<Endpoint> &agents,
                                   Instant now)
 {
-    for (const FormerOwner &owner : owners) {
-        const Instant until = now + std::min(owner.remaining, m_settings.flowLifetimeMax);
-        if (owner.agent != Endpoint()) {
-            addDeparted(owner.service, owner.agent, until);
-            continue;
-        }
-        std::vector<FormerService> &former = m_formerServices[route.address];
-        const bool isKnown = routeIncludes(route, owner.service)
-            || std::any_of(former.begin(), former.end(),
-                           [&](const FormerService &f) { return f.service == owner.service; });
-        if (!isKnown) {
-            former.push_back({owner.service, until});
-            m_possibleOwners.clear();
+    const RouteEntry *entry = routeByAddress(route);
+    if (entry == nullptr) {
+        return;
+    }
+    std::map<Endpoint, Instant> &ofOthers = m_ownersOfOthers[route];
+    for (const Endpoint &agent : agents) {
+        if (listedOwners(*entry).find(agent) == nullptr && ofOthers.size() < DepartedMax) {
+            ofOthers[agent] = now + m_settings.flowLifetimeMax;
         }
     }
+    m_possibleOwners.erase(route);
 }
 
 bool Directory::isSettled(Instant now) const
@@ -274,6 +244,9 @@
     std::erase_if(m_formerServices, [](const auto &f) { return f.second.empty(); });
     forgotten +=
         std::erase_if(m_departed, [&](const DepartedUpstream &d) { return now >= d.until; });
+    for (auto &[route, agents] : m_ownersOfOthers) {
+        forgotten += std::erase_if(agents, [&](const auto &entry) { return now >= entry.second; });
+    }
     if (forgotten > 0) {
         m_possibleOwners.clear();
     }
@@ -366,11 +339,25 @@
 }
 
 const PossibleOwners &Directory::possibleOwners(const RouteEntry &route) const
+{
+    return ownersOf(route).all;
+}
+
+const PossibleOwners &Directory::listedOwners(const RouteEntry &route) const
+{
+    return ownersOf(route).listed;
+}
+
+const Directory::OwnersOfRoute &Directory::ownersOf(const RouteEntry &route) const
 {
     const auto known = m_possibleOwners.find(route.address);
-    if (known != m_possibleOwners.end()) {
-        return known->second;
-    }
+    return known != m_possibleOwners.end()
+        ? known->second
+        : m_possibleOwners.emplace(route.address, collectOwners(route)).first->second;
+}
+
+Directory::OwnersOfRoute Directory::collectOwners(const RouteEntry &route) const
+{
     std::vector<ServiceName> services;
     for (const WeightedService &service : route.services) {
         services.push_back(service.name);
@@ -395,7 +382,16 @@
             owners.push_back({departed.agent, true});
         }
     }
-    return m_possibleOwners.emplace(route.address, PossibleOwners(std::move(owners))).first->second;
+    OwnersOfRoute result;
+    result.listed = PossibleOwners(owners);
+    const auto ofOthers = m_ownersOfOthers.find(route.address);
+    if (ofOthers != m_ownersOfOthers.end()) {
+        for (const auto &[agent, until] : ofOthers->second) {
+            owners.push_back({agent, true});
+        }
+    }
+    result.all = PossibleOwners(std::move(owners));
+    return result;
 }
 
 bool Directory::routeIncludes(const RouteEntry &route, const ServiceName &service)
--- a/src/steering/owner_search.cpp
+++ b/src/steering/owner_search.cpp
@@ -33,7 +33,7 @@
 void OwnerSearch::startSearch(const Segment &segment, const PacketBytes &bytes,
                               const Endpoint &origin, bool isDenied, Instant now)
 {
-    const PossibleOwners *owners = m_hooks.possibleOwners(segment.flow);
+    const PossibleOwners *owners = m_hooks.possibleOwners(segment.flow.service);
     if (owners == nullptr || m_searches.size() >= m_settings.searchesMax) {
         ++m_counters.packetsDropped;
         return;
@@ -42,10 +42,11 @@
     Search &search = m_searches[segment.flow];
     search.startedAt = now;
     search.order = owners->searchOrder(segment.flow);
-    search.digest = owners->digest();
+    search.ownersDigest = owners->digest();
     search.locatedOwner = locationOf(segment.flow);
     if (isDenied) {
-        search.queries[m_settings.self] = {1, now, now, now, search.digest};
+        search.ownUpstreamAsked = true;
+        search.asked.insert(m_settings.self);
     }
     addPacket(search, segment, bytes, origin, now);
     if (advance(segment.flow, search, now)) {
@@ -75,102 +76,189 @@
 
 bool OwnerSearch::advance(const FlowKey &flow, Search &search, Instant now)
 {
-    // The agent that knows the flow's location, and then the own upstream, whose agent may have
-    // restarted, are the most likely owners: the others are not bothered before they have answered.
-    // A located owner that does not answer is restarting, unless its upstream has departed.
-    if (search.locatedOwner && waitFor(flow, search, *search.locatedOwner, now)) {
+    const PossibleOwners *owners = m_hooks.possibleOwners(flow.service);
+    if (owners == nullptr) {
+        return true;
+    }
+    if (askLikelyOwners(flow, search, *owners, now)) {
+        setDueTime(search, now);
         return false;
     }
-    const PossibleOwners *owners = m_hooks.possibleOwners(flow);
-    if (owners == nullptr) {
+    askOthers(flow, search, *owners, now);
+    const bool isConfirmed = now - search.startedAt >= m_settings.absenceConfirmationTime;
+    if (isDeniedByAll(flow, search, *owners, now) && isConfirmed && m_hooks.mayAct(now)) {
+        ++m_counters.ownersAbsent;
+        m_hooks.onAbsent(flow, search.callerAcknowledgement, now);
         return true;
     }
-    if (owners->digest() != search.digest) {
-        search.order = owners->searchOrder(flow);
-        search.digest = owners->digest();
+    setDueTime(search, now);
+    return false;
+}
+
+bool OwnerSearch::askLikelyOwners(const FlowKey &flow, Search &search, const PossibleOwners &owners,
+                                  Instant now)
+{
+    if (search.locatedOwner) {
+        const Endpoint owner = *search.locatedOwner;
+        const auto query = std::find_if(search.unanswered.begin(), search.unanswered.end(),
+                                        [&](const Query &q) { return q.agent == owner; });
+        const bool isPending = query != search.unanswered.end();
+        const bool hasDenied = search.asked.contains(owner) && !isPending;
+        if (owners.find(owner) == nullptr || hasDenied
+            || (isPending && isGone(owners, *query, now))) {
+            search.locatedOwner.reset();
+        } else if (!isPending) {
+            ask(flow, search, owner, now);
+        } else if (now >= query->retryAt) {
+            sendQuery(flow, search, *query, now);
+        }
+        // A located owner that does not answer is restarting, unless its upstream has departed: the
+        // others are not asked meanwhile.
+        if (search.locatedOwner) {
+            return true;
+        }
     }
-    const auto own = search.queries.find(m_settings.self);
-    const bool ownIsAsked = own != search.queries.end();
-    if (owners->find(m_settings.self) != nullptr && !ownIsAsked) {
-        sendQuery(flow, search, m_settings.self, now);
+    // The agent that balancers send the packets to has probably restarted.
+    if (!search.ownUpstreamAsked) {
+        search.ownUpstreamAsked = true;
+        if (owners.find(m_settings.self) != nullptr) {
+            ask(flow, search, m_settings.self, now);
+        }
     }
-    if (isOutstanding(search.queries[m_settings.self], now)) {
-        return false;
+    return std::any_of(search.unanswered.begin(), search.unanswered.end(), [&](const Query &query) {
+        return query.agent == m_settings.self && query.sent == 1 && isWaiting(query, now);
+    });
+}
+
+void OwnerSearch::askOthers(const FlowKey &flow, Search &search, const PossibleOwners &owners,
+                            Instant now)
+{
+    std::size_t waiting = 0;
+    for (const Query &query : search.unanswered) {
+        waiting += isWaiting(query, now) ? 1 : 0;
     }
-    auto outstanding = static_cast<std::size_t>(
-        std::count_if(search.queries.begin(), search.queries.end(),
-                      [&](const auto &entry) { return isOutstanding(entry.second, now); }));
-    bool allDenied = true;
-    for (const Endpoint &agent : search.order) {
-        if (hasDenied(search, agent) || isGone(*owners->find(agent), search, now)) {
-            continue;
+    if (search.next == search.order.size() && owners.digest() != search.ownersDigest) {
+        addNewOwners(flow, search, owners);
+    }
+    while (search.next < search.order.size() && waiting < m_settings.parallelQueries) {
+        const Endpoint agent = search.order[search.next++];
+        if (!search.asked.contains(agent)) {
+            ask(flow, search, agent, now);
+            ++waiting;
         }
-        allDenied = false;
-        if (outstanding < m_settings.parallelQueries && now >= search.queries[agent].retryAt) {
-            sendQuery(flow, search, agent, now);
-            outstanding += isOutstanding(search.queries[agent], now) ? 1 : 0;
+    }
+    bool ownUpstreamDenies = false;
+    for (Query &query : search.unanswered) {
+        if (waiting < m_settings.parallelQueries && now >= query.retryAt) {
+            ownUpstreamDenies |= !sendQuery(flow, search, query, now);
+            ++waiting;
         }
     }
-    if (!allDenied || now - search.startedAt < m_settings.absenceConfirmationTime
-        || !m_hooks.mayAct(now)) {
-        return false;
+    if (ownUpstreamDenies) {
+        std::erase_if(search.unanswered,
+                      [&](const Query &query) { return query.agent == m_settings.self; });
     }
-    ++m_counters.ownersAbsent;
-    m_hooks.onAbsent(flow, search.callerAcknowledgement, now);
-    return true;
 }
 
-bool OwnerSearch::waitFor(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now)
+void OwnerSearch::addNewOwners(const FlowKey &flow, Search &search, const PossibleOwners &owners)
 {
-    const PossibleOwners *owners = m_hooks.possibleOwners(flow);
-    const PossibleOwner *owner = owners == nullptr ? nullptr : owners->find(agent);
-    Query &query = search.queries[agent];
-    if (owner == nullptr || query.deniedWithDigest || isGone(*owner, search, now)) {
-        search.locatedOwner.reset();
+    const std::unordered_set<Endpoint> known(search.order.begin(), search.order.end());
+    for (const Endpoint &agent : owners.searchOrder(flow)) {
+        if (!known.contains(agent)) {
+            search.order.push_back(agent);
+        }
+    }
+    search.ownersDigest = owners.digest();
+}
+
+bool OwnerSearch::isDeniedByAll(const FlowKey &flow, const Search &search,
+                                const PossibleOwners &owners, Instant now)
+{
+    if (search.next < search.order.size() || owners.digest() != search.ownersDigest) {
         return false;
     }
-    if (now >= query.retryAt) {
-        sendQuery(flow, search, agent, now);
+    bool areListsKnown = true;
+    for (const ListOfAgent &list : search.denials) {
+        areListsKnown = isListKnown(flow.service, list, now) && areListsKnown;
     }
-    return !search.queries[agent].deniedWithDigest;
+    return areListsKnown
+        && std::all_of(search.unanswered.begin(), search.unanswered.end(),
+                       [&](const Query &query) { return isGone(owners, query, now); });
 }
 
-void OwnerSearch::sendQuery(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now)
+bool OwnerSearch::isListKnown(const Endpoint &route, const ListOfAgent &list, Instant now)
 {
-    Query &query = search.queries[agent];
-    ++query.sent;
-    if (query.sent == 1) {
-        query.firstSentAt = now;
+    if (list.digest == m_hooks.listedDigest(route)) {
+        return true;
+    }
+    const auto known = m_knownLists.find(list.digest);
+    if (known != m_knownLists.end() && now - known->second < m_settings.listTtl) {
+        return true;
+    }
+    Instant &queriedAt = m_listQueriedAt[list.agent];
+    if (now - queriedAt >= m_settings.listQueryInterval) {
+        queriedAt = now;
+        m_hooks.sendOwnersQuery(list.agent, {m_settings.self, route});
     }
+    return false;
+}
+
+void OwnerSearch::onOwnersList(const OwnersList &list, Instant now)
+{
+    m_knownLists[list.digest] = now;
+    m_hooks.addPossibleOwners(list.route, list.agents, now);
+    for (auto &[flow, search] : m_searches) {
+        search.dueAt = now;
+    }
+}
+
+void OwnerSearch::ask(const FlowKey &flow, Search &search, const Endpoint &agent, Instant now)
+{
+    search.asked.insert(agent);
+    Query query;
+    query.agent = agent;
+    query.firstSentAt = now;
+    if (sendQuery(flow, search, query, now)) {
+        search.unanswered.push_back(query);
+    }
+}
+
+bool OwnerSearch::sendQuery(const FlowKey &flow, const Search &search, Query &query, Instant now)
+{
+    ++query.sent;
     query.lastSentAt = now;
     const Millis backoff = m_settings.queryTimeout * (1U << std::min(query.sent, 8U));
     query.retryAt = now + std::min(backoff, m_settings.queryRetryMax);
-    if (agent != m_settings.self) {
-        ++m_counters.queriesSent;
-        m_hooks.sendQuery(agent, {m_settings.self, search.digest, search.packet});
-    } else if (m_hooks.askOwnUpstream(flow, search.packet, now) == OwnUpstreamState::NotHeld) {
-        query.deniedWithDigest = search.digest;
+    if (query.agent == m_settings.self) {
+        return m_hooks.askOwnUpstream(flow, search.packet, now) != OwnUpstreamState::NotHeld;
     }
+    ++m_counters.queriesSent;
+    m_hooks.sendQuery(query.agent, {m_settings.self, search.packet});
+    return true;
 }
 
-bool OwnerSearch::isOutstanding(const Query &query, Instant now) const
+bool OwnerSearch::isWaiting(const Query &query, Instant now) const
 {
-    return query.sent > 0 && !query.deniedWithDigest
-        && now - query.lastSentAt < m_settings.queryTimeout;
+    return now - query.lastSentAt < m_settings.queryTimeout;
 }
 
-bool OwnerSearch::isGone(const PossibleOwner &owner, const Search &search, Instant now) const
+void OwnerSearch::setDueTime(Search &search, Instant now) const
 {
-    const auto query = search.queries.find(owner.agent);
-    return owner.departed && query != search.queries.end()
-        && query->second.sent >= m_settings.departedQueriesMin
-        && now - query->second.firstSentAt >= m_settings.departedTimeout;
+    const Instant confirmedAt = search.startedAt + m_settings.absenceConfirmationTime;
+    search.dueAt = confirmedAt > now ? confirmedAt : now + m_settings.listQueryInterval;
+    for (const Query &query : search.unanswered) {
+        const Instant next =
+            isWaiting(query, now) ? query.lastSentAt + m_settings.queryTimeout : query.retryAt;
+        search.dueAt = std::min(search.dueAt, std::max(next, now));
+    }
 }
 
-bool OwnerSearch::hasDenied(const Search &search, const Endpoint &agent)
+bool OwnerSearch::isGone(const PossibleOwners &owners, const Query &query, Instant now) const
 {
-    const auto query = search.queries.find(agent);
-    return query != search.queries.end() && query->second.deniedWithDigest == search.digest;
+    const PossibleOwner *owner = owners.find(query.agent);
+    const bool departed = owner == nullptr || owner->departed;
+    return departed && query.sent >= m_settings.departedQueriesMin
+        && now - query.firstSentAt >= m_settings.departedTimeout;
 }
 
 void OwnerSearch::onAnswer(const FlowAnswer &answer, Instant now)
@@ -187,8 +275,14 @@
     }
     Search &search = found->second;
     if (!answer.owned) {
-        m_hooks.learnOwners(answer.flow, answer.formerOwners, now);
-        search.queries[answer.agent].deniedWithDigest = answer.ownersDigest;
+        std::erase_if(search.unanswered,
+                      [&](const Query &query) { return query.agent == answer.agent; });
+        const auto isSameList = [&](const ListOfAgent &list) {
+            return list.digest == answer.ownersDigest;
+        };
+        if (std::none_of(search.denials.begin(), search.denials.end(), isSameList)) {
+            search.denials.push_back({answer.ownersDigest, answer.agent});
+        }
         if (advance(answer.flow, search, now)) {
             m_searches.erase(found);
         }
@@ -243,12 +337,15 @@
 {
     for (auto at = m_searches.begin(); at != m_searches.end();) {
         const bool expired = now - at->second.lastPacketAt > m_settings.searchTtl;
-        if (expired || advance(at->first, at->second, now)) {
+        const bool isDue = now >= at->second.dueAt;
+        if (expired || (isDue && advance(at->first, at->second, now))) {
             at = m_searches.erase(at);
         } else {
             ++at;
         }
     }
+    std::erase_if(m_knownLists,
+                  [&](const auto &list) { return now - list.second >= m_settings.listTtl; });
     while (!m_locationTimers.empty()
            && (now - m_locationTimers.front().at > m_settings.locationTtl
                || m_locations.size() > m_settings.locationsMax)) {
--- a/src/steering/possible_owners.cpp
+++ b/src/steering/possible_owners.cpp
@@ -24,6 +24,9 @@
         return a.agent == b.agent;
     };
     m_owners.erase(std::unique(m_owners.begin(), m_owners.end(), sameAgent), m_owners.end());
+    for (const PossibleOwner &owner : m_owners) {
+        m_digest = hashPair(m_digest, owner.agent.packed());
+    }
 }
 
 const PossibleOwner *PossibleOwners::find(const Endpoint &agent) const
@@ -34,15 +37,6 @@
     return found == m_owners.end() || found->agent != agent ? nullptr : &*found;
 }
 
-std::uint64_t PossibleOwners::digest() const noexcept
-{
-    std::uint64_t digest = 0;
-    for (const PossibleOwner &owner : m_owners) {
-        digest = hashPair(digest, owner.agent.packed());
-    }
-    return digest;
-}
-
 std::vector<Endpoint> PossibleOwners::searchOrder(const FlowKey &flow) const
 {
     std::vector<std::pair<std::uint64_t, Endpoint>> places;
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -304,6 +304,13 @@
         controlToAgent(index, to,
                        [this, answer](AgentSteering &agent) { agent.onFlowAnswer(answer, m_now); });
     };
+    hooks.sendOwnersQuery = [this, index](const Endpoint &to, const OwnersQuery &query) {
+        controlToAgent(index, to, [query](AgentSteering &agent) { agent.onOwnersQuery(query); });
+    };
+    hooks.sendOwnersList = [this, index](const Endpoint &to, const OwnersList &list) {
+        controlToAgent(index, to,
+                       [this, list](AgentSteering &agent) { agent.onOwnersList(list, m_now); });
+    };
     hooks.sendFlowLocations = [this, index](const Endpoint &to, const FlowLocations &locations) {
         controlToAgent(index, to, [this, locations](AgentSteering &agent) {
             agent.onFlowLocations(locations, m_now);
