--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -86,11 +86,12 @@
     Endpoint route; ///< address of the route
 };
 
-/// Reply to an OwnersQuery.
+/// Reply to an OwnersQuery, or a part of it: a long list takes several datagrams.
 struct OwnersList
 {
     Endpoint route;
-    std::uint64_t digest = 0;
+    std::uint64_t digest = 0; ///< of the whole list
+    std::uint64_t total = 0; ///< number of agents in the whole list
     std::vector<Endpoint> agents;
 };
 
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -77,6 +77,7 @@
     /// A flow that has been open for this long is reported to its homes. Most flows end before.
     Millis locationReportAge {300};
     std::size_t locationsPerMessage = 50;
+    std::size_t ownersPerMessage = 100; ///< agents in one part of a list of possible owners
     /// A question to the upstream and its result are forgotten after this.
     Millis upstreamQueryTtl {10'000};
     /// Minimum interval between two packets with which the upstream is asked for one flow.
--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -98,7 +98,7 @@
 class OwnerSearch
 {
 public:
-    OwnerSearch(OwnerSearchSettings settings, OwnerSearchHooks hooks);
+    OwnerSearch(const OwnerSearchSettings &settings, OwnerSearchHooks hooks);
 
     /// @brief Handles a packet of a flow that this agent does not own.
     /// @param origin process that sent the packet; it is told the owner
@@ -200,6 +200,8 @@
     /// Lists of other agents that possibleOwners contains, by digest, with the time of their
     /// arrival.
     std::unordered_map<std::uint64_t, Instant> m_knownLists;
+    /// Agents of lists of which parts are missing, by digest.
+    std::unordered_map<std::uint64_t, std::unordered_set<Endpoint>> m_partialLists;
     std::unordered_map<Endpoint, Instant> m_listQueriedAt; ///< by agent
     OwnerSearchCounters m_counters;
 };
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -290,6 +290,7 @@
     OwnersList list;
     list.route = in.endpoint();
     list.digest = in.number();
+    list.total = in.number();
     in.list([&](FieldReader &items) { list.agents.push_back(items.endpoint()); });
     return list;
 }
@@ -495,9 +496,9 @@
 
 std::string encode(const OwnersList &list)
 {
-    constexpr std::uint32_t Fields = 3;
+    constexpr std::uint32_t Fields = 4;
     FieldWriter out(MessageKind::OwnersList, Fields);
-    out.endpoint(list.route).number(list.digest).list(list.agents.size());
+    out.endpoint(list.route).number(list.digest).number(list.total).list(list.agents.size());
     for (const Endpoint &agent : list.agents) {
         out.endpoint(agent);
     }
--- a/src/steering/agent_queries.cpp
+++ b/src/steering/agent_queries.cpp
@@ -161,11 +161,17 @@
         return;
     }
     const PossibleOwners &owners = m_directory.listedOwners(*route);
-    OwnersList list {query.route, owners.digest(), {}};
+    OwnersList part {query.route, owners.digest(), owners.list().size(), {}};
     for (const PossibleOwner &owner : owners.list()) {
-        list.agents.push_back(owner.agent);
+        part.agents.push_back(owner.agent);
+        if (part.agents.size() == m_settings.ownersPerMessage) {
+            m_hooks.sendOwnersList(query.sender, part);
+            part.agents.clear();
+        }
+    }
+    if (!part.agents.empty()) {
+        m_hooks.sendOwnersList(query.sender, part);
     }
-    m_hooks.sendOwnersList(query.sender, list);
 }
 
 void AgentSteering::reportLocations(Instant now)
@@ -181,6 +187,9 @@
             continue;
         }
         for (const Endpoint &home : homesOf(*owners, key)) {
+            if (home == m_settings.self) {
+                continue;
+            }
             FlowLocations &message = messages[home];
             message.owner = m_settings.self;
             message.flows.push_back(key);
@@ -191,7 +200,7 @@
         }
     }
     for (const auto &[home, message] : messages) {
-        if (!message.flows.empty() && home != m_settings.self) {
+        if (!message.flows.empty()) {
             m_hooks.sendFlowLocations(home, message);
         }
     }
--- a/src/steering/owner_search.cpp
+++ b/src/steering/owner_search.cpp
@@ -4,8 +4,8 @@
 
 namespace bergamotglade {
 
-OwnerSearch::OwnerSearch(OwnerSearchSettings settings, OwnerSearchHooks hooks)
-    : m_settings(std::move(settings))
+OwnerSearch::OwnerSearch(const OwnerSearchSettings &settings, OwnerSearchHooks hooks)
+    : m_settings(settings)
     , m_hooks(std::move(hooks))
 { }
 
@@ -205,8 +205,14 @@
 
 void OwnerSearch::onOwnersList(const OwnersList &list, Instant now)
 {
-    m_knownLists[list.digest] = now;
     m_hooks.addPossibleOwners(list.route, list.agents, now);
+    std::unordered_set<Endpoint> &received = m_partialLists[list.digest];
+    received.insert(list.agents.begin(), list.agents.end());
+    if (received.size() < list.total) {
+        return;
+    }
+    m_partialLists.erase(list.digest);
+    m_knownLists[list.digest] = now;
     for (auto &[flow, search] : m_searches) {
         search.dueAt = now;
     }
@@ -346,6 +352,9 @@
     }
     std::erase_if(m_knownLists,
                   [&](const auto &list) { return now - list.second >= m_settings.listTtl; });
+    if (m_searches.empty()) {
+        m_partialLists.clear();
+    }
     while (!m_locationTimers.empty()
            && (now - m_locationTimers.front().at > m_settings.locationTtl
                || m_locations.size() > m_settings.locationsMax)) {
--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -178,6 +178,28 @@
     EXPECT_EQ(fleet.resetCount(), 0U);
 }
 
+TEST(OwnerSearch, ListOfManyAgentsIsTakenInParts)
+{
+    SmallFleet base(0, 2);
+    SteeringFleet &fleet = base;
+    fleet.agentSettings.ownersPerMessage = 1;
+    for (std::size_t i = 0; i < 2; ++i) {
+        fleet.restartAgent(i);
+    }
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    const std::size_t owner = fleet.upstreamOf(flow);
+    const std::size_t other = 1 - owner;
+    fleet.upstream(owner).flows.clear();
+    fleet.restartAgent(owner);
+    fleet.publishAtAgent(other, SteeringFleet::upstreamSectionAt(98));
+    fleet.publishAtAgent(other, removalOf(SteeringFleet::upstreamSectionAt(98)));
+    fleet.restartBalancer(0);
+    fleet.sendRequest(flow);
+    fleet.runFor(Millis(1500));
+    EXPECT_TRUE(fleet.flow(flow).wasReset);
+}
+
 TEST(OwnerSearch, ResetWaitsForAnAgentThatOnlyOneOtherLists)
 {
     SmallFleet fleet(0, 4);
