--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -308,6 +308,9 @@
         controlToAgent(index, to, [query](AgentSteering &agent) { agent.onOwnersQuery(query); });
     };
     hooks.sendOwnersList = [this, index](const Endpoint &to, const OwnersList &list) {
+        if (ownersListsLost) {
+            return;
+        }
         controlToAgent(index, to,
                        [this, list](AgentSteering &agent) { agent.onOwnersList(list, m_now); });
     };
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -134,6 +134,8 @@
     std::uint64_t controlMessagesBetweenAgents = 0;
     /// Indices of agents that send and receive no packets and whose timers do not run.
     std::set<std::size_t> unreachableAgents;
+    /// Lists of possible owners that agents send are lost.
+    bool ownersListsLost = false;
     /// False simulates an outdated configuration view at all balancers.
     bool balancersMayAct = true;
     /// False simulates an outdated configuration view at all agents.
--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -178,6 +178,26 @@
     EXPECT_EQ(fleet.resetCount(), 0U);
 }
 
+TEST(OwnerSearch, NobodyIsResetBeforeAListThatDiffersHasArrived)
+{
+    SmallFleet fleet(0, 4);
+    const std::size_t flow = fleet.openFlow(0, true);
+    fleet.runFor(Millis(50));
+    for (std::size_t i = 0; i < 4; ++i) {
+        fleet.upstream(i).flows.clear();
+        fleet.restartAgent(i);
+    }
+    fleet.publishAtAgent(2, removalOf(fleet.upstreamSection(1)));
+    fleet.publishAtAgent(2, SteeringFleet::upstreamSectionAt(99));
+    fleet.restartBalancer(0);
+    fleet.ownersListsLost = true;
+    for (int i = 0; i < 4; ++i) {
+        fleet.sendRequest(flow);
+        fleet.runFor(Millis(300));
+    }
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+}
+
 TEST(OwnerSearch, ListOfManyAgentsIsTakenInParts)
 {
     SmallFleet base(0, 2);
@@ -325,6 +345,12 @@
         fleet.moveTo(1);
         fleet.runFor(Millis(300));
     }
+    // Longer than a search lives without packets: the next packets start new searches.
+    for (int i = 0; i < 2; ++i) {
+        fleet.runFor(Millis(3300));
+        fleet.moveTo(1);
+    }
+    fleet.runFor(Millis(300));
     for (std::size_t i = 0; i < 4; ++i) {
         EXPECT_LE(fleet.agent(i).counters().packetsReturned, 1U);
     }
