Keep resets of upstreams that are only asked for a flow from its caller

Its agent took that as proof that the upstream holds the flow and sent it to the caller, while the owner served. Ruled out: a reset of ours (no reset line at that agent). Change: a reset of an upstream that was only asked for a flow counts as a denial and goes nowhere.

--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -145,6 +145,13 @@
         onReturned(segment, std::move(bytes), now);
         return;
     }
+    if (segment.resets && !m_flows.contains(segment.flow)
+        && m_upstreamQueries.contains(segment.flow)) {
+        // The upstream was only asked for the flow, which may be open elsewhere: an upstream that
+        // has just started, or that had an earlier flow of these addresses, resets it.
+        answerUpstreamQuery(segment.flow, false, now);
+        return;
+    }
     if (m_lastRefusal && (segment.opens || segment.dataBytes > 0)) {
         // The upstream has accepted a flow, or answered a request and thereby freed a slot.
         m_lastRefusal.reset();
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -382,6 +382,10 @@
     const Segment segment = m_codec.fromCaller(bytes).value();
     const FlowKey &key = segment.flow;
     const bool holds = upstream.flows.contains(key);
+    if (!segment.opens && !holds && upstream.resetsUnknownFlows) {
+        transmitFromUpstream(index, makePacket(key, false, Rst, segment.acknowledgement, 0));
+        return;
+    }
     if ((segment.opens && upstream.refusesFlows && !holds) || (!segment.opens && !holds)) {
         transmitFromUpstream(index, standins::markReturned(bytes));
         return;
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -47,6 +47,7 @@
     bool unresponsive = false; ///< answers no packets
     bool refusesFlows = false; ///< returns the opening packets of new flows
     bool resetsRequests = false; ///< accepts flows and resets them at their first request
+    bool resetsUnknownFlows = false; ///< resets flows that it does not hold, in place of a return
     std::uint32_t initialSequence = 0;
     std::set<FlowKey> flows; ///< flows that it holds
     std::uint32_t running = 0; ///< number of requests that it is processing
--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -333,27 +333,51 @@
 
 TEST(OwnerSearch, UpstreamIsAskedOnceForAFlowThatItDoesNotHold)
 {
-    // Nobody finds the owner, which is restarting. The callers' retransmissions must not reach the
-    // other upstreams again and again.
-    OpenFlows fleet(4, 1);
+    // Nobody finds the flows of one agent, which is restarting. The callers' retransmissions must
+    // not reach the other upstreams again and again.
+    constexpr std::size_t Agents = 4;
+    OpenFlows fleet(Agents, 20);
     const std::size_t owner = fleet.upstreamOf(0);
-    for (std::size_t i = 0; i < 4; ++i) {
+    for (std::size_t i = 0; i < Agents; ++i) {
         fleet.restartAgent(i);
     }
     fleet.unreachableAgents.insert(owner);
+    const auto countReturned = [&] {
+        std::uint64_t returned = 0;
+        for (std::size_t i = 0; i < Agents; ++i) {
+            returned += fleet.agent(i).counters().packetsReturned;
+        }
+        return returned;
+    };
     for (int i = 0; i < 6; ++i) {
         fleet.moveTo(1);
-        fleet.runFor(Millis(300));
+        fleet.runFor(Millis(320));
     }
+    const std::uint64_t asked = countReturned();
+    EXPECT_GT(asked, 0U);
+    EXPECT_LE(asked, fleet.flows.size() * (Agents - 1));
     // Longer than a search lives without packets: the next packets start new searches.
     for (int i = 0; i < 2; ++i) {
         fleet.runFor(Millis(3300));
         fleet.moveTo(1);
     }
-    fleet.runFor(Millis(300));
-    for (std::size_t i = 0; i < 4; ++i) {
-        EXPECT_LE(fleet.agent(i).counters().packetsReturned, 1U);
+    fleet.runFor(Millis(320));
+    EXPECT_EQ(countReturned(), asked);
+}
+
+TEST(OwnerSearch, ResetOfAnUpstreamThatIsOnlyAskedDoesNotReachTheCaller)
+{
+    // An upstream that has just started, or that had an earlier flow of the same addresses, resets
+    // what it does not hold. The owner is elsewhere and serves.
+    OpenFlows fleet(6);
+    for (std::size_t i = 0; i < 6; ++i) {
+        fleet.upstream(i).resetsUnknownFlows = true;
+        fleet.restartAgent(i);
     }
+    fleet.moveTo(1);
+    fleet.runFor(Millis(200));
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, 40), 40U);
 }
 
 TEST(OwnerSearch, PacketsOfAFlowThatItsUpstreamHasEndedReachItsUpstream)
