Conclude that an upstream has crashed only from a refused connection

Cause: checkUpstreamCrash() took silence for a crash. Three packets without an answer over 400 ms sufficed beside one lost opening packet, and plain acknowledgements, which nobody answers, were counted.

Ruled out: the loss itself (the flow was handed off and served), a restart of the upstream (no line `upstream restarted`), a pause of the agent (no pause in its log; the test on a virtual clock has none either).

Change: only opening packets and data count. After three of them over 400 ms the agent connects to the upstream's port; only a refusal, which the system sends if no process listens, proves the crash. All open flows are then reset at once. The log names the verdict, upstream_connections_total counts the connections.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -42,10 +42,12 @@
     /// long is suspect: it gets one new flow per probeInterval as a probe even if it appears to be
     /// full.
     Millis suspectTimeout {100};
-    /// A silent upstream is considered crashed when at least this many consecutive packets have
-    /// gone unanswered for at least crashTimeout.
+    /// A silent upstream that leaves at least this many consecutive packets unanswered for at least
+    /// crashTimeout is connected to. It has crashed if it refuses the connection.
     std::uint32_t crashUnansweredMin = 3;
     Millis crashTimeout {400};
+    /// Minimum interval between two connections to a silent upstream.
+    Millis connectionInterval {1000};
     /// Maximum number of times that agents hand off one opening packet; the next agent accepts the
     /// flow or resets it.
     std::uint8_t openingHopsMax = 4;
@@ -129,6 +131,7 @@
     std::uint64_t resetsWithoutOwner = 0;
     std::uint64_t resetsNotAccepted = 0; ///< new flows reset because no agent accepted them
     std::uint64_t resetsAfterCrash = 0;
+    std::uint64_t upstreamConnections = 0; ///< connections made to silent upstreams
     std::uint64_t packetsDropped = 0; ///< packets of callers dropped without a reset
     std::uint64_t packetsToCallers = 0;
     std::uint64_t upstreamSilences = 0; ///< times that the upstream became silent
@@ -139,6 +142,9 @@
 struct AgentSteeringHooks
 {
     std::function<void(const PacketBytes &)> sendToUpstream;
+    /// Connects to the port of the upstream and reports whether the connection was refused, which
+    /// proves that no process listens there.
+    std::function<void(std::function<void(bool refused, Instant)> done)> connectToUpstream;
     std::function<void(const Endpoint &agent, const PacketBytes &)> sendToAgent;
     std::function<void(const Endpoint &caller, const PacketBytes &)> sendToCaller;
     std::function<void(const Endpoint &process, const LoadReport &)> sendLoadReport;
@@ -262,7 +268,8 @@
     [[nodiscard]] std::uint64_t listedDigestOf(const Endpoint &route) const;
     /// @brief Tells the homes of the flows that have become long their owner.
     void reportLocations(Instant now);
-    void sendToUpstream(const PacketBytes &bytes, Instant now);
+    /// @param needsAnswer a running upstream answers the packet at once or retransmissions of it
+    void sendToUpstream(const PacketBytes &bytes, bool needsAnswer, Instant now);
     void sendReset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
                    Instant now);
     void setRequestRunning(OwnedFlow &flow, bool requestRunning, Instant now);
@@ -273,6 +280,7 @@
     void onProcessPause(Instant now);
     void checkOfferTimeouts(Instant now);
     void checkUpstreamCrash(Instant now);
+    void onUpstreamCrash(Instant now);
     void checkCallerAckTimeouts(Instant now);
     [[nodiscard]] Millis callerAckTimeout() const;
     void setHandshaking(OwnedFlow &flow, bool handshaking);
@@ -316,10 +324,12 @@
     double m_callerAckMs = 0;
     bool m_draining = false;
     bool m_upstreamSilent = false; ///< the upstream does not answer packets
+    /// The upstream refused a connection while it was silent, and has sent no packet since.
     bool m_upstreamCrashed = false;
-    /// Packets sent to the upstream since its last packet.
+    /// Packets that need an answer, sent to the upstream since its last packet.
     std::uint32_t m_unansweredPackets = 0;
     Instant m_unansweredSince; ///< when the first of these packets was sent
+    Instant m_nextConnectionAt; ///< a silent upstream is not connected to before this
     Instant m_nextProbeAt; ///< a silent or suspect upstream gets no probe before this
     /// Time of the upstream's last refusal; cleared when it accepts or answers a flow.
     std::optional<Instant> m_lastRefusal;
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -1,6 +1,7 @@
 #include "steering_runtime.hpp"
 
 #include <bergamotglade/detail/daemon/log.hpp>
+#include <bergamotglade/detail/net/connection_check.hpp>
 #include <bergamotglade/detail/net/datagram_codec.hpp>
 #include <bergamotglade/detail/steering/agent_steering.hpp>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+/// The upstream runs on the same VM, whose system refuses a connection within a millisecond.
+constexpr Millis UpstreamConnectTimeout {200};
+
 class SteeringAgentDaemon
 {
 public:
@@ -109,6 +113,7 @@
             return fromUpstream.error();
         }
         m_fromUpstream = std::move(fromUpstream.value());
+        m_upstreamCheck.emplace(m_process.io());
         AgentSteeringSettings steering;
         steering.self = m_settings.steering->packets;
         steering.upstream = m_settings.upstreamAddress;
@@ -136,6 +141,12 @@
             // Upstreams expect packets from the address to which they send their own.
             m_fromUpstream->send(m_settings.upstreamAddress, bytes);
         };
+        hooks.connectToUpstream = [this](const std::function<void(bool, Instant)> &done) {
+            m_upstreamCheck->start(m_settings.upstreamAddress, UpstreamConnectTimeout,
+                                   [done](ConnectionOutcome outcome) {
+                                       done(outcome == ConnectionOutcome::Refused, Clock::now());
+                                   });
+        };
         hooks.sendToAgent = [this](const Endpoint &agent, const PacketBytes &bytes) {
             m_runtime->sendPacket(agent, bytes);
         };
@@ -186,6 +197,7 @@
                  {{"flows_open",
                    static_cast<std::uint64_t>(m_steering ? m_steering->activeFlowCount(Clock::now())
                                                          : 0)}});
+        m_upstreamCheck.reset();
         m_steering.reset();
         m_fromUpstream.reset();
         m_runtime.reset();
@@ -219,6 +231,8 @@
                               counters.packetsDropped);
         metrics.addCounterRef("upstream_silences", "Times that the upstream stopped answering",
                               counters.upstreamSilences);
+        metrics.addCounterRef("upstream_connections", "Connections made to silent upstreams",
+                              counters.upstreamConnections);
         metrics.addCounterRef("broken_off", "Requests that the upstream ended without an answer",
                               counters.requestsUnanswered);
         const OwnerSearchCounters &search = m_steering->ownerSearch().counters();
@@ -246,6 +260,7 @@
     Process m_process;
     std::unique_ptr<SteeringRuntime> m_runtime;
     std::unique_ptr<UdpSocket> m_fromUpstream;
+    std::optional<ConnectionCheck> m_upstreamCheck;
     std::optional<AgentSteering> m_steering;
     bool m_stopping = false;
 };
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -89,7 +89,8 @@
     if (segment.resets) {
         eraseFlow(segment.flow);
     }
-    sendToUpstream(bytes, now);
+    // Nobody answers a plain acknowledgement.
+    sendToUpstream(bytes, segment.dataBytes > 0, now);
 }
 
 void AgentSteering::followRedirect(const Endpoint &agent, const Segment &segment, PacketBytes bytes,
@@ -114,10 +115,10 @@
     }
 }
 
-void AgentSteering::sendToUpstream(const PacketBytes &bytes, Instant now)
+void AgentSteering::sendToUpstream(const PacketBytes &bytes, bool needsAnswer, Instant now)
 {
     ++m_counters.packetsDelivered;
-    if (m_unansweredPackets++ == 0) {
+    if (needsAnswer && m_unansweredPackets++ == 0) {
         m_unansweredSince = now;
     }
     m_hooks.sendToUpstream(bytes);
--- a/src/steering/agent_queries.cpp
+++ b/src/steering/agent_queries.cpp
@@ -43,7 +43,7 @@
     hooks.sendOwnersQuery = m_hooks.sendOwnersQuery;
     hooks.sendToOwner = [this](const Endpoint &agent, const PacketBytes &bytes, Instant now) {
         if (agent == m_settings.self) {
-            sendToUpstream(bytes, now);
+            sendToUpstream(bytes, false, now);
         } else {
             m_hooks.sendToAgent(agent, bytes);
         }
@@ -97,7 +97,8 @@
     if (!isKnown || now - query.lastAskedAt >= m_settings.upstreamQueryInterval) {
         query.firstAskedAt = isKnown ? query.firstAskedAt : now;
         query.lastAskedAt = now;
-        sendToUpstream(bytes, now);
+        // An upstream that holds the flow need not answer.
+        sendToUpstream(bytes, false, now);
     }
     return OwnUpstreamState::Asked;
 }
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -59,7 +59,7 @@
     if (isAnswered || (isOffered && !m_upstreamSilent)) {
         // A retransmission: the upstream answers it again.
         known->second.lastSeen = now;
-        sendToUpstream(bytes, now);
+        sendToUpstream(bytes, true, now);
         return;
     }
     bool handedOff = known != m_flows.end() && known->second.stage == FlowStage::HandedOff;
@@ -278,7 +278,7 @@
     ++m_counters.flowsOffered;
     m_offerTimers.push_back({key, now});
     logDecision("take", "upstream is not full, or due for a probe", key, m_settings.upstream, now);
-    sendToUpstream(bytes, now);
+    sendToUpstream(bytes, true, now);
 }
 
 std::vector<Endpoint> AgentSteering::otherAcceptingAgents(const RouteEntry &route) const
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -94,17 +94,33 @@
 
 void AgentSteering::checkUpstreamCrash(Instant now)
 {
-    const bool crashed = m_upstreamSilent && m_unansweredPackets >= m_settings.crashUnansweredMin
+    // Silence alone proves nothing: packets are lost, and a process can be suspended. The system
+    // refuses connections to a port only if no process listens there.
+    const bool suspected = m_upstreamSilent && m_unansweredPackets >= m_settings.crashUnansweredMin
         && now - m_unansweredSince >= m_settings.crashTimeout;
-    if (!crashed || m_upstreamCrashed) {
+    if (!suspected || m_upstreamCrashed || now < m_nextConnectionAt) {
         return;
     }
+    m_nextConnectionAt = now + m_settings.connectionInterval;
+    ++m_counters.upstreamConnections;
+    m_hooks.connectToUpstream(
+        [this, silence = m_counters.upstreamSilences](bool refused, Instant at) {
+            // The upstream may have sent a packet since the connection attempt.
+            const bool isSameSilence = m_upstreamSilent && silence == m_counters.upstreamSilences;
+            if (refused && isSameSilence && !m_upstreamCrashed) {
+                onUpstreamCrash(at);
+            }
+        });
+}
+
+void AgentSteering::onUpstreamCrash(Instant now)
+{
     m_upstreamCrashed = true;
-    // Flows that had a later packet are reset at their next data packet, see onContinuation().
+    logDecision("upstream has crashed", "refused a connection, and packets are not answered", {},
+                m_settings.upstream, now);
     std::vector<std::pair<FlowKey, std::uint32_t>> affected;
     for (const auto &[key, flow] : m_flows) {
-        if (flow.stage == FlowStage::Open
-            && flow.lastSeen <= m_unansweredSince + m_settings.crashTimeout) {
+        if (flow.stage == FlowStage::Open) {
             affected.emplace_back(key, flow.callerAcknowledgement);
         }
     }
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -259,6 +259,9 @@
     hooks.sendToUpstream = [this, index](const PacketBytes &bytes) {
         schedule(Millis(0), [this, index, bytes] { onPacketToUpstream(index, bytes); });
     };
+    hooks.connectToUpstream = [this, index](const std::function<void(bool, Instant)> &done) {
+        done(!m_upstreams[index].listens, m_now);
+    };
     hooks.sendToAgent = [this, from = upstream.agent](const Endpoint &agent,
                                                       const PacketBytes &bytes) {
         transmitToAgent(agent, bytes, from);
@@ -380,6 +383,10 @@
         return;
     }
     const Segment segment = m_codec.fromCaller(bytes).value();
+    if (segment.opens && upstream.openingsToLose > 0) {
+        --upstream.openingsToLose;
+        return;
+    }
     const FlowKey &key = segment.flow;
     const bool holds = upstream.flows.contains(key);
     if (!segment.opens && !holds && upstream.resetsUnknownFlows) {
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -45,6 +45,8 @@
     Millis serviceTime {20};
     Millis answerDelay {}; ///< delay of every packet that it sends
     bool unresponsive = false; ///< answers no packets
+    bool listens = true; ///< accepts TCP connections; a crashed process does not
+    std::size_t openingsToLose = 0; ///< opening packets that are lost on the way to it
     bool refusesFlows = false; ///< returns the opening packets of new flows
     bool resetsRequests = false; ///< accepts flows and resets them at their first request
     bool resetsUnknownFlows = false; ///< resets flows that it does not hold, in place of a return
--- a/tests/unit-steering-failures.cpp
+++ b/tests/unit-steering-failures.cpp
@@ -42,6 +42,7 @@
     }
     fleet.runFor(Millis(50));
     fleet.upstream(0).unresponsive = true;
+    fleet.upstream(0).listens = false;
     std::size_t held = 0;
     for (const std::size_t flow : flows) {
         if (fleet.upstreamOf(flow) == 0) {
@@ -54,6 +55,66 @@
     EXPECT_EQ(fleet.resetCount(), held);
 }
 
+// Guards against plain acknowledgements, which no upstream answers, being counted as signs of a
+// crash.
+TEST(SteeringFailures, OneLostOpeningPacketResetsNoFlows)
+{
+    SmallFleet fleet(0, 1);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0));
+        fleet.runFor(Millis(60));
+    }
+    // The upstream works on a request of a flow, and its last answers to the others have been
+    // acknowledged for a while.
+    fleet.upstream(0).serviceTime = Millis(3000);
+    fleet.sendRequest(flows.front());
+    for (const std::size_t flow : flows) {
+        fleet.acknowledge(flow, 400);
+    }
+    fleet.runFor(Millis(800));
+    fleet.upstream(0).openingsToLose = 1;
+    // The upstream serves no TCP: the count must suffice.
+    fleet.upstream(0).listens = false;
+    fleet.openFlow(0, true);
+    fleet.runFor(Millis(150));
+    EXPECT_EQ(fleet.upstream(0).openingsToLose, 0U);
+    for (const std::size_t flow : flows) {
+        fleet.acknowledge(flow, 400);
+    }
+    fleet.runFor(Millis(4000));
+    EXPECT_EQ(fleet.agent(0).counters().upstreamSilences, 1U);
+    for (const std::size_t flow : flows) {
+        EXPECT_FALSE(fleet.flow(flow).wasReset);
+        EXPECT_TRUE(fleet.flow(flow).answered);
+    }
+}
+
+// Guards against silence being taken for a crash: a suspended upstream keeps its flows.
+TEST(SteeringFailures, FlowsOfASilentUpstreamThatStillListensAreKept)
+{
+    SmallFleet fleet;
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 30; ++i) {
+        flows.push_back(fleet.openFlow(0, true));
+    }
+    fleet.runFor(Millis(50));
+    fleet.upstream(0).unresponsive = true;
+    for (const std::size_t flow : flows) {
+        fleet.sendRequest(flow);
+    }
+    fleet.openFlows(200, Millis(10));
+    EXPECT_GT(fleet.agent(0).counters().upstreamConnections, 0U);
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    fleet.upstream(0).unresponsive = false;
+    for (const std::size_t flow : flows) {
+        fleet.sendRequest(flow);
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+    EXPECT_EQ(fleet.resetCount(), 0U);
+}
+
 TEST(SteeringFailures, RefusedFlowsAreHandedOffAndResetWhenAllUpstreamsRefuse)
 {
     SmallFleet fleet;
