Keep flows for the configured idle timeout

Cause: agents forgot flows after 15 s whatever was configured, and later denied them: an agent that has run for the lifetime of a flow takes its table for complete and does not ask its upstream. The adapter did not read the limit.

Ruled out: the balancer's table, which is also kept for 15 s (it searched, as it should); the upstream (the record shows that it held the flows and was never asked); a late configuration (all lines of the searches show the version that raised the timeout).

Change: the adapter translates the limit, the directory keeps the longest one that was configured within the lifetime of a flow, and agents forget flows only after that, and not before 15 s. A line `forget` says so.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -85,7 +85,9 @@
     /// Minimum interval between two packets with which the upstream is asked for one flow.
     Millis upstreamQueryInterval {200};
     std::size_t upstreamQueriesMax = 4096;
-    Millis idleTimeout {15'000}; ///< a flow without packets is removed after this
+    /// A flow without packets is kept for at least this long, even if a shorter idle timeout is
+    /// configured: no packet is seen while the upstream works on a long request.
+    Millis idleTimeoutMin {15'000};
     /// A stopping agent waits for flows that had a packet within this time, which covers one
     /// retransmission by either end.
     Millis drainIdleTimeout {1700};
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -34,7 +34,8 @@
     /// Capacity of the flow table; the flows that were checked for expiry longest ago are removed
     /// first.
     std::size_t flowsMax = 100'000;
-    /// A flow without packets is removed after this.
+    /// A flow without packets is removed after this; its next packet starts a search for its owner,
+    /// which keeps it for longer.
     Millis idleTimeout {15'000};
     /// If the owner of a flow is still unknown after this, its next packet goes to another home,
     /// unless the first has reported its load within homeReportAgeMax.
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -104,6 +104,10 @@
     [[nodiscard]] bool acceptsNewFlows(const KnownUpstream &upstream) const;
     /// @brief New flows per second that a cold upstream of the service accepts; 0 means no limit.
     [[nodiscard]] double coldFlowRate(const ServiceName &service) const;
+    /// @brief Idle time after which the owner of a flow may forget it: the longest that was
+    /// configured within the lifetime of a flow, so that two changes in quick succession end no
+    /// flow. At most DirectorySettings::flowLifetimeMax.
+    [[nodiscard]] Millis flowIdleTimeout() const;
     [[nodiscard]] bool isOut(const FailureDomainId &domain) const { return m_view.isOut(domain); }
     [[nodiscard]] bool hasRoutes() const noexcept { return m_version.has_value(); }
     [[nodiscard]] std::uint64_t version() const noexcept { return m_version.value_or(0); }
@@ -120,6 +124,11 @@
         Instant until;
     };
 
+    struct FormerIdleTimeout
+    {
+        Millis timeout;
+        Instant until;
+    };
     struct OwnersOfRoute
     {
         PossibleOwners listed;
@@ -133,6 +142,7 @@
     };
 
     Findings applyRoutes(const SectionChange &change, Instant now);
+    void applyFlowIdleTimeout(const RouteDocument &document, Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change);
     void eraseUpstream(const UpstreamId &id, Instant now);
@@ -150,6 +160,8 @@
     std::unordered_map<Endpoint, RouteEntry> m_routes;
     std::unordered_map<Endpoint, std::vector<FormerService>> m_formerServices;
     std::unordered_map<ServiceName, double> m_coldFlowRates;
+    Millis m_flowIdleTimeout; ///< as configured now
+    std::vector<FormerIdleTimeout> m_formerIdleTimeouts; ///< longer ones
     std::map<UpstreamId, KnownUpstream> m_upstreams;
     std::unordered_map<Endpoint, UpstreamId> m_byAddress;
     std::unordered_map<Endpoint, UpstreamId> m_byAgent;
--- a/include/bergamotglade/detail/steering/entries.hpp
+++ b/include/bergamotglade/detail/steering/entries.hpp
@@ -4,6 +4,7 @@
 
 #include <bergamotglade/detail/config/store.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
     std::uint64_t version = 0;
     std::vector<RouteEntry> routes;
     std::vector<ServicePolicy> services;
+    /// A flow that has been idle for longer may be forgotten; absent if none is configured.
+    std::optional<Millis> flowIdleTimeout;
 };
 
 /// Longest duration that an entry may state.
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -154,6 +154,7 @@
 
 void AgentSteering::expireFlows(Instant now)
 {
+    const Millis idleTimeout = std::max(m_directory.flowIdleTimeout(), m_settings.idleTimeoutMin);
     for (std::size_t i = std::min(ExpiryChecksPerTick, m_expiryQueue.size()); i > 0; --i) {
         const FlowKey key = m_expiryQueue.front();
         m_expiryQueue.pop_front();
@@ -166,7 +167,11 @@
         if (now - flow.lastSeen > m_settings.requestIdleTimeout) {
             clearRequestRunning(flow);
         }
-        if (now - flow.lastSeen > (ended ? m_settings.endedFlowTtl : m_settings.idleTimeout)) {
+        if (now - flow.lastSeen > (ended ? m_settings.endedFlowTtl : idleTimeout)) {
+            if (flow.stage == FlowStage::Open) {
+                logDecision("forget", "flow was idle for longer than its timeout", key,
+                            m_settings.upstream, now);
+            }
             eraseFlow(key);
         } else {
             m_expiryQueue.push_back(key);
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -27,6 +27,7 @@
 
 Directory::Directory(DirectorySettings settings)
     : m_settings(std::move(settings))
+    , m_flowIdleTimeout(m_settings.flowLifetimeMax)
 { }
 
 Findings Directory::applySection(const SectionChange &change, Instant now)
@@ -80,6 +81,7 @@
     for (const ServicePolicy &service : document.value().services) {
         m_coldFlowRates[service.name] = service.coldFlowsPerSecond;
     }
+    applyFlowIdleTimeout(document.value(), now);
     if (!m_version) {
         m_firstRoutesAt = now;
     }
@@ -87,6 +89,26 @@
     return {};
 }
 
+void Directory::applyFlowIdleTimeout(const RouteDocument &document, Instant now)
+{
+    // Without a configured timeout, flows are kept for their whole lifetime.
+    const Millis timeout = std::min(document.flowIdleTimeout.value_or(m_settings.flowLifetimeMax),
+                                    m_settings.flowLifetimeMax);
+    if (m_version && timeout < m_flowIdleTimeout) {
+        m_formerIdleTimeouts.push_back({m_flowIdleTimeout, now + m_settings.flowLifetimeMax});
+    }
+    m_flowIdleTimeout = timeout;
+}
+
+Millis Directory::flowIdleTimeout() const
+{
+    Millis longest = m_flowIdleTimeout;
+    for (const FormerIdleTimeout &former : m_formerIdleTimeouts) {
+        longest = std::max(longest, former.timeout);
+    }
+    return longest;
+}
+
 Findings Directory::applyUpstream(const SectionChange &change, Instant now)
 {
     const UpstreamId id(change.name.str().substr(UpstreamPrefix.size()));
@@ -237,6 +259,8 @@
     for (const UpstreamId &id : expired) {
         eraseUpstream(id, now);
     }
+    std::erase_if(m_formerIdleTimeouts,
+                  [&](const FormerIdleTimeout &former) { return now >= former.until; });
     std::size_t forgotten = 0;
     for (auto &[address, former] : m_formerServices) {
         forgotten += std::erase_if(former, [&](const FormerService &f) { return now >= f.until; });
--- a/src/steering/entries.cpp
+++ b/src/steering/entries.cpp
@@ -44,10 +44,13 @@
         services.push_back(
             {{"name", service.name.str()}, {"cold_per_second", service.coldFlowsPerSecond}});
     }
-    return json {{"version", document.version},
-                 {"routes", std::move(routes)},
-                 {"services", std::move(services)}}
-        .dump();
+    json root {{"version", document.version},
+               {"routes", std::move(routes)},
+               {"services", std::move(services)}};
+    if (document.flowIdleTimeout) {
+        root["flow_idle_ms"] = document.flowIdleTimeout->count();
+    }
+    return root.dump();
 }
 
 std::string encode(const UpstreamEntry &entry)
@@ -80,6 +83,9 @@
             document.services.push_back({ServiceName(service.at("name").get<std::string>()),
                                          service.at("cold_per_second").get<double>()});
         }
+        if (root.contains("flow_idle_ms")) {
+            document.flowIdleTimeout = durationAt(root, "flow_idle_ms");
+        }
         return document;
     });
 }
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,4 +1,4 @@
-#include "steering_fixture.hpp"
+#include "small_fleet.hpp"
 
 #include "property.hpp"
 
@@ -61,6 +61,37 @@
 
 } // namespace
 
+// Guards against flows being reset that were idle for less than the configured idle timeout: their
+// agent had forgotten them after a time of its own, and then denied that its upstream held them.
+TEST(ConfiguredIdleTimeout, FlowsThatAreIdleForLessAreNotReset)
+{
+    SmallFleet fleet;
+    const auto configure = [&](int version, int idleMs) {
+        const std::string configuration = R"({"version":)" + std::to_string(version)
+            + R"(,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/443/",)"
+            + R"("kind":"idempotent","service":"kits"}],"services":[{"name":"kits"}],)"
+            + R"("limits":{"idle_timeout_ms":)" + std::to_string(idleMs) + "}}";
+        const auto page = platform::readStorePage(
+            storeReply(storeItem("op/config", configuration, version)), AgentPort);
+        fleet.publish(page.value().changes.at(0));
+    };
+    configure(2, 15'000);
+    // Agents that have run for the lifetime of a flow do not ask their upstreams for unknown flows.
+    fleet.runFor(Millis(61'000));
+    configure(3, 40'000);
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 12; ++i) {
+        flows.push_back(fleet.openFlow(0));
+    }
+    fleet.runFor(Millis(20'000));
+    for (const std::size_t flow : flows) {
+        fleet.sendRequest(flow);
+    }
+    fleet.runFor(Millis(1000));
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+}
+
 // Packets
 
 TEST(PacketCodec, ReadsDocumentedPacket)
@@ -183,6 +214,27 @@
     EXPECT_EQ(entry.startedAt, 1769499681676U);
 }
 
+TEST(StorePage, ReadsTheIdleTimeoutOfFlows)
+{
+    const auto read = [](const std::string &limits) {
+        const std::string value = R"({"version":7,"routes":[],"services":[])" + limits + "}";
+        const auto page =
+            platform::readStorePage(storeReply(storeItem("op/config", value, 5)), AgentPort);
+        return decodeRoutes(page.value().changes.at(0).text);
+    };
+    EXPECT_EQ(read(R"(,"limits":{"idle_timeout_ms":40000})").value().flowIdleTimeout,
+              Millis(40'000));
+    EXPECT_EQ(read(R"(,"limits":{"idle_timeout_ms":1500.5})").value().flowIdleTimeout,
+              Millis(1500));
+    EXPECT_EQ(read(R"(,"limits":{"idle_timeout_ms":1e300})").value().flowIdleTimeout,
+              EntryDurationMax);
+    EXPECT_EQ(read(R"(,"limits":{"max_body_bytes":1})").value().flowIdleTimeout, std::nullopt);
+    EXPECT_EQ(read("").value().flowIdleTimeout, std::nullopt);
+    EXPECT_EQ(read(R"(,"limits":{"idle_timeout_ms":0})").value().flowIdleTimeout, std::nullopt);
+    EXPECT_FALSE(read(R"(,"limits":{"idle_timeout_ms":-1})"));
+    EXPECT_FALSE(read(R"(,"limits":{"idle_timeout_ms":"long"})"));
+}
+
 TEST(StorePage, ReadsRemovals)
 {
     const auto read = platform::readStorePage(
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -35,6 +35,39 @@
 
 } // namespace
 
+TEST(FlowIdleTimeout, IsTheLongestConfiguredWithinTheLifetimeOfAFlow)
+{
+    Directory directory;
+    const auto configure = [&](std::optional<Millis> timeout, Instant now) {
+        RouteDocument document;
+        document.version = 1;
+        document.flowIdleTimeout = timeout;
+        EXPECT_TRUE(directory.applySection({RootName, Revision(1), encode(document)}, now).empty());
+        directory.expire(now);
+    };
+    // The lifetime of a flow is 60 s.
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(60'000));
+    configure(Millis(15'000), Start);
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(15'000));
+    configure(Millis(40'000), Start + Millis(1000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(40'000));
+    // A flow that is idle when the timeout is shortened and lengthened again is kept.
+    configure(Millis(5000), Start + Millis(2000));
+    configure(Millis(30'000), Start + Millis(3000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(40'000));
+    directory.expire(Start + Millis(61'999));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(40'000));
+    directory.expire(Start + Millis(62'000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(30'000));
+    configure(EntryDurationMax, Start + Millis(70'000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(60'000));
+    configure(Millis(0), Start + Millis(71'000));
+    directory.expire(Start + Millis(140'000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(0));
+    configure(std::nullopt, Start + Millis(141'000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(60'000));
+}
+
 TEST(Directory, KeepsAnEntryThatLapsedAroundAnOutageForTheGracePeriod)
 {
     Directory directory;
