Keep half-closed flows until both ends have finished

A caller that paused for more than two seconds after its upstream had finished a flow, and then sent its last packet, would be reset by an agent, although the upstream still held the flow.

Cause: an agent forgot flows two seconds after their last packet once the upstream alone had finished, and later denied them.

Change: the short time holds for flows that both ends have finished or that the upstream has reset. All others are kept for the idle timeout.

Evidence: SteeringFlows.AreKeptUntilBothEndsHaveFinished was red on the parent commit (no flow left after ten seconds) and is green now.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -91,7 +91,7 @@
     /// A stopping agent waits for flows that had a packet within this time, which covers one
     /// retransmission by either end.
     Millis drainIdleTimeout {1700};
-    Millis endedFlowTtl {2000}; ///< an ended flow is kept for this long, for late packets
+    Millis closedFlowTtl {2000}; ///< a closed flow is kept for this long, for late packets
     /// Interval between load reports.
     Millis reportInterval {150};
     /// Interval between load reports while the load is below lowLoadUtilization, the upstream is
--- a/include/bergamotglade/detail/steering/owned_flow.hpp
+++ b/include/bergamotglade/detail/steering/owned_flow.hpp
@@ -51,6 +51,8 @@
     /// The flow was given to the upstream and counts against the handshake allowance: the caller
     /// has neither acknowledged the upstream's answer nor exceeded the time for it.
     bool handshaking = false;
+    bool callerFinished = false; ///< the caller has sent its last packet
+    bool wasReset = false; ///< the upstream has reset the flow
     Instant acceptedAt; ///< when the upstream answered the opening packet
     /// Initial sequence number of the upstream, from its answer to the opening packet.
     std::optional<std::uint32_t> upstreamInitialSequence;
@@ -65,6 +67,12 @@
     /// upstream is silent.
     PacketBytes openingPacket;
 
+    /// @brief Whether neither end sends anything new.
+    [[nodiscard]] bool isClosed() const noexcept
+    {
+        return wasReset || (stage == FlowStage::Ended && callerFinished);
+    }
+
     /// @brief Whether a caller's packet belongs to the flow at this upstream, judged by its
     /// acknowledgement number.
     /// @return also true if the upstream's sequence number is not known
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -86,6 +86,9 @@
     if (segment.dataBytes > 0 && flow.stage == FlowStage::Open) {
         setRequestRunning(flow, true, now);
     }
+    if (segment.finishes) {
+        flow.callerFinished = true;
+    }
     if (segment.resets) {
         eraseFlow(segment.flow);
     }
@@ -187,6 +190,7 @@
         setRequestRunning(flow, false, now);
         setHandshaking(flow, false);
         flow.stage = FlowStage::Ended;
+        flow.wasReset = flow.wasReset || segment.resets;
     }
     m_hooks.sendToCaller(segment.flow.caller, bytes);
 }
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -163,11 +163,10 @@
             continue;
         }
         OwnedFlow &flow = found->second;
-        const bool ended = flow.stage == FlowStage::Ended;
         if (now - flow.lastSeen > m_settings.requestIdleTimeout) {
             clearRequestRunning(flow);
         }
-        if (now - flow.lastSeen > (ended ? m_settings.endedFlowTtl : idleTimeout)) {
+        if (now - flow.lastSeen > (flow.isClosed() ? m_settings.closedFlowTtl : idleTimeout)) {
             if (flow.stage == FlowStage::Open) {
                 logDecision("forget", "flow was idle for longer than its timeout", key,
                             m_settings.upstream, now);
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -549,6 +549,13 @@
         makePacket(flow.key, false, Ack | Fin, flow.upstreamInitialSequence + 1 + bytes, 2));
 }
 
+void SteeringFleet::finishFromCaller(std::size_t index)
+{
+    const CallerFlow &flow = m_callers[index];
+    transmitFromCaller(index,
+                       makePacket(flow.key, true, Ack | Fin, 2, flow.upstreamInitialSequence + 1));
+}
+
 void SteeringFleet::acknowledge(std::size_t index, std::uint32_t bytes)
 {
     const CallerFlow &flow = m_callers[index];
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -104,6 +104,8 @@
     void sendRequest(std::size_t flow);
     /// @brief Lets the upstream of a flow send its last packet, after `bytes` of data.
     void finishFlow(std::size_t flow, std::uint32_t bytes);
+    /// @brief Lets the caller of a flow send its last packet.
+    void finishFromCaller(std::size_t flow);
     /// @brief Sends an acknowledgement of `bytes` received on a flow, without data.
     void acknowledge(std::size_t flow, std::uint32_t bytes);
     void resendOpening(std::size_t flow) { sendOpening(flow, 0); }
--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -61,6 +61,27 @@
 
 } // namespace
 
+// Guards against an agent forgetting a flow that its upstream has finished and its caller has not:
+// the caller's next packet would be answered by a reset.
+TEST(SteeringFlows, AreKeptUntilBothEndsHaveFinished)
+{
+    SmallFleet fleet;
+    // Agents that have run for the lifetime of a flow do not ask their upstreams for unknown flows.
+    fleet.runFor(Millis(61'000));
+    const std::size_t flow = fleet.openFlow(0);
+    fleet.runFor(Millis(100));
+    const std::size_t owner = fleet.upstreamOf(flow);
+    fleet.finishFlow(flow, 400);
+    fleet.runFor(Millis(10'000));
+    EXPECT_EQ(fleet.agent(owner).flowCount(), 1U);
+    fleet.acknowledge(flow, 400);
+    fleet.runFor(Millis(1000));
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+    fleet.finishFromCaller(flow);
+    fleet.runFor(Millis(2500));
+    EXPECT_EQ(fleet.agent(owner).flowCount(), 0U);
+}
+
 TEST(SteeringFlows, SurviveAChangeOfBalancer)
 {
     SmallFleet fleet(0, 6);
