Let no entry of an unconfigured service take an upstream's address

Cause: an address belonged to the entry that was applied last. That no configuration names their service made no difference.

Change: all entries that claim an agent are kept. Those of configured services come first, then the highest revision; the order of application does not matter. The claim is to the agent, so that an entry with another port takes nothing either.

--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace bergamotglade {
 
@@ -24,6 +25,7 @@
     Instant removeAt;
     /// The upstream is not registered; `entry` was filled from its agent's announcement.
     bool announced = false;
+    Revision revision; ///< revision of the entry; zero if announced
 };
 
 struct DirectorySettings
@@ -145,6 +147,21 @@
     void applyFlowIdleTimeout(const RouteDocument &document, Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change);
+    /// @brief Adds or replaces an upstream, unless another one has the better claim to its agent.
+    /// @return whether the upstream is in use
+    bool claimAgent(KnownUpstream upstream, Instant now);
+    /// @brief Keeps an entry whose agent another upstream uses.
+    void displace(KnownUpstream upstream);
+    /// @brief Whether a claim to an agent comes before another one.
+    [[nodiscard]] bool comesBefore(const KnownUpstream &a, const KnownUpstream &b) const;
+    /// @brief Lets upstreams whose claims have become the better ones take their agents.
+    void reviewClaims(Instant now);
+    /// @brief Whether the configuration names the service.
+    [[nodiscard]] bool isServiceNamed(const ServiceName &service) const;
+    void insertUpstream(KnownUpstream upstream);
+    void removeUpstream(const UpstreamId &id, Instant now);
+    /// @brief Removes an upstream, and its claim to an agent that another upstream uses. The next
+    /// claim to its agent takes effect.
     void eraseUpstream(const UpstreamId &id, Instant now);
     void addDeparted(const UpstreamEntry &entry, Instant now);
     [[nodiscard]] const OwnersOfRoute &ownersOf(const RouteEntry &route) const;
@@ -160,9 +177,13 @@
     std::unordered_map<Endpoint, RouteEntry> m_routes;
     std::unordered_map<Endpoint, std::vector<FormerService>> m_formerServices;
     std::unordered_map<ServiceName, double> m_coldFlowRates;
+    std::unordered_set<ServiceName> m_namedServices; ///< services of the configuration
     Millis m_flowIdleTimeout; ///< as configured now
     std::vector<FormerIdleTimeout> m_formerIdleTimeouts; ///< longer ones
     std::map<UpstreamId, KnownUpstream> m_upstreams;
+    /// Entries whose agents are used by upstreams with better claims. Entries of other writers may
+    /// name addresses of upstreams.
+    std::map<UpstreamId, KnownUpstream> m_displaced;
     std::unordered_map<Endpoint, UpstreamId> m_byAddress;
     std::unordered_map<Endpoint, UpstreamId> m_byAgent;
     std::vector<DepartedUpstream> m_departed;
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -78,9 +78,17 @@
     }
     m_routes = std::move(routes);
     m_coldFlowRates.clear();
+    m_namedServices.clear();
     for (const ServicePolicy &service : document.value().services) {
         m_coldFlowRates[service.name] = service.coldFlowsPerSecond;
+        m_namedServices.insert(service.name);
     }
+    for (const auto &[address, route] : m_routes) {
+        for (const WeightedService &service : route.services) {
+            m_namedServices.insert(service.name);
+        }
+    }
+    reviewClaims(now);
     applyFlowIdleTimeout(document.value(), now);
     if (!m_version) {
         m_firstRoutesAt = now;
@@ -114,6 +122,7 @@
     const UpstreamId id(change.name.str().substr(UpstreamPrefix.size()));
     const auto known = m_upstreams.find(id);
     if (change.removed) {
+        m_displaced.erase(id);
         if (known == m_upstreams.end()) {
             return {};
         }
@@ -132,33 +141,96 @@
             entry ? Error {ErrorCode::BadDocument, "id in the entry differs from the section name"}
                   : entry.error())};
     }
-    // An address belongs to the upstream that registered it last.
-    const auto holder = m_byAddress.find(entry.value().address);
-    if (holder != m_byAddress.end() && holder->second != id) {
-        eraseUpstream(UpstreamId(holder->second), now);
+    KnownUpstream upstream;
+    upstream.entry = std::move(entry.value());
+    upstream.coldUntil = now + upstream.entry.coldDuration;
+    upstream.revision = change.revision;
+    claimAgent(std::move(upstream), now);
+    reviewClaims(now);
+    if (m_displaced.contains(id)) {
+        return {{FindingCode::AddressConflict, Severity::Warning,
+                 SourceLocation {change.name.str(), change.name.str(), 0, 0},
+                 "another upstream has the better claim to its address"}};
     }
-    const std::optional<ServiceName> before =
-        known == m_upstreams.end() ? std::nullopt : std::optional(known->second.entry.service);
-    if (before) {
+    return {};
+}
+
+bool Directory::claimAgent(KnownUpstream upstream, Instant now)
+{
+    const UpstreamId id = upstream.entry.id;
+    const Endpoint agent = upstream.entry.agent;
+    m_displaced.erase(id);
+    const auto known = m_upstreams.find(id);
+    if (known != m_upstreams.end()) {
         const UpstreamEntry &previous = known->second.entry;
-        m_byAddress.erase(previous.address);
-        m_byAgent.erase(previous.agent);
-        if (previous.agent != entry.value().agent || previous.service != entry.value().service) {
-            addDeparted(previous, now);
+        if (previous.agent != agent) {
+            eraseUpstream(id, now);
+        } else if (previous.service != upstream.entry.service
+                   || previous.address != upstream.entry.address) {
+            removeUpstream(id, now);
         }
     }
-    KnownUpstream upstream;
-    upstream.entry = std::move(entry.value());
-    upstream.coldUntil = now + upstream.entry.coldDuration;
+    const auto holder = m_byAgent.find(agent);
+    if (holder != m_byAgent.end() && holder->second != id) {
+        const KnownUpstream &other = m_upstreams.at(holder->second);
+        if (!comesBefore(upstream, other)) {
+            displace(std::move(upstream));
+            return false;
+        }
+        displace(other);
+        removeUpstream(UpstreamId(holder->second), now);
+    }
+    insertUpstream(std::move(upstream));
+    return true;
+}
+
+void Directory::displace(KnownUpstream upstream)
+{
+    // An announcement is repeated until the directory has settled.
+    if (!upstream.announced) {
+        const UpstreamId id = upstream.entry.id;
+        m_displaced[id] = std::move(upstream);
+    }
+}
+
+bool Directory::comesBefore(const KnownUpstream &a, const KnownUpstream &b) const
+{
+    // The order of application does not matter: processes apply the same entries in different
+    // orders.
+    const bool isNamed = isServiceNamed(a.entry.service);
+    if (isNamed != isServiceNamed(b.entry.service)) {
+        return isNamed;
+    }
+    return a.announced == b.announced ? a.revision >= b.revision : !a.announced;
+}
+
+bool Directory::isServiceNamed(const ServiceName &service) const
+{
+    return m_namedServices.contains(service);
+}
+
+void Directory::reviewClaims(Instant now)
+{
+    std::vector<KnownUpstream> better;
+    for (const auto &[id, upstream] : m_displaced) {
+        const KnownUpstream *holder = upstreamByAgent(upstream.entry.agent);
+        if (holder == nullptr || !comesBefore(*holder, upstream)) {
+            better.push_back(upstream);
+        }
+    }
+    for (KnownUpstream &upstream : better) {
+        claimAgent(std::move(upstream), now);
+    }
+}
+
+void Directory::insertUpstream(KnownUpstream upstream)
+{
+    const UpstreamId id = upstream.entry.id;
+    const ServiceName service = upstream.entry.service;
     m_byAddress[upstream.entry.address] = id;
     m_byAgent[upstream.entry.agent] = id;
-    const ServiceName service = upstream.entry.service;
     m_upstreams[id] = std::move(upstream);
     rebuildTables(service);
-    if (before && *before != service) {
-        rebuildTables(*before);
-    }
-    return {};
 }
 
 void Directory::applyDomain(const SectionChange &change)
@@ -177,10 +249,27 @@
 
 void Directory::eraseUpstream(const UpstreamId &id, Instant now)
 {
+    m_displaced.erase(id);
     const auto known = m_upstreams.find(id);
     if (known == m_upstreams.end()) {
         return;
     }
+    const Endpoint agent = known->second.entry.agent;
+    removeUpstream(id, now);
+    const KnownUpstream *next = nullptr;
+    for (const auto &[other, upstream] : m_displaced) {
+        if (upstream.entry.agent == agent && (next == nullptr || comesBefore(upstream, *next))) {
+            next = &upstream;
+        }
+    }
+    if (next != nullptr) {
+        claimAgent(KnownUpstream(*next), now);
+    }
+}
+
+void Directory::removeUpstream(const UpstreamId &id, Instant now)
+{
+    const auto known = m_upstreams.find(id);
     const ServiceName service = known->second.entry.service;
     addDeparted(known->second.entry, now);
     m_byAddress.erase(known->second.entry.address);
@@ -225,23 +314,20 @@
 
 bool Directory::announce(const Announcement &announcement, Instant now)
 {
-    if (isSettled(now) || m_byAddress.contains(announcement.address)) {
+    const KnownUpstream *holder = upstreamByAgent(announcement.agent);
+    if (isSettled(now) || (holder != nullptr && holder->announced)) {
         return false;
     }
-    const UpstreamId id(std::string(AnnouncedPrefix) + announcement.address.str());
-    KnownUpstream &upstream = m_upstreams[id];
-    upstream.entry.id = id;
+    KnownUpstream upstream;
+    upstream.entry.id = UpstreamId(std::string(AnnouncedPrefix) + announcement.address.str());
     upstream.entry.service = announcement.service;
     upstream.entry.domain = announcement.domain;
     upstream.entry.agent = announcement.agent;
     upstream.entry.address = announcement.address;
     upstream.entry.slots = announcement.slots;
     upstream.announced = true;
-    m_byAddress[announcement.address] = id;
-    m_byAgent[announcement.agent] = id;
-    rebuildTables(announcement.service);
     m_possibleOwners.clear();
-    return true;
+    return claimAgent(std::move(upstream), now);
 }
 
 bool Directory::expire(Instant now)
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace bergamotglade;
 using namespace bergamotglade::tests;
 
@@ -122,6 +124,75 @@
     EXPECT_NE(directory.upstreamByAddress({0x0a010001, 8165}), nullptr);
 }
 
+// Guards against the entry of another writer taking an upstream's address, which left nobody served
+// once all processes had restarted and applied the entries in the order of their keys.
+TEST(Directory, EntryOfAServiceThatIsNotConfiguredTakesNoAddress)
+{
+    const std::vector<SectionChange> changes = {
+        SteeringFleet::routeSection({{"kits", 1}}),
+        change(entry("host", "kits", 1), 7),
+        change(entry("older", "printing", 1), 3),
+        change(entry("newer", "printing", 1), 9),
+    };
+    std::vector<std::size_t> order = {0, 1, 2, 3};
+    do {
+        Directory directory;
+        for (const std::size_t at : order) {
+            directory.applySection(changes[at], Start);
+        }
+        const KnownUpstream *holder = directory.upstreamByAddress({0x0a010001, 8165});
+        ASSERT_NE(holder, nullptr);
+        EXPECT_EQ(holder->entry.id, UpstreamId("host"));
+        EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172}), holder);
+        EXPECT_EQ(directory.upstreams().size(), 1U);
+        EXPECT_NE(directory.serviceTable(ServiceName("kits")), nullptr);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(Directory, AddressBelongsToTheNewestRegistrationInAnyOrder)
+{
+    const std::vector<SectionChange> changes = {
+        SteeringFleet::routeSection({{"kits", 1}, {"documents", 1}}),
+        change(entry("a", "kits", 1), 7),
+        change(entry("b", "documents", 1), 9),
+        change(entry("c", "kits", 1), 3),
+    };
+    std::vector<std::size_t> order = {0, 1, 2, 3};
+    do {
+        Directory directory;
+        for (const std::size_t at : order) {
+            directory.applySection(changes[at], Start);
+        }
+        EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.id, UpstreamId("b"));
+        directory.applySection(removal("c", false, 10), Start);
+        EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.id, UpstreamId("b"));
+        directory.applySection(removal("b", false, 11), Start);
+        EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.id, UpstreamId("a"));
+        directory.applySection(removal("a", false, 12), Start);
+        EXPECT_TRUE(directory.upstreams().empty());
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(Directory, AddressPassesOnWhenTheNamedServicesChange)
+{
+    Directory directory;
+    directory.applySection(SteeringFleet::routeSection({{"kits", 1}}), Start);
+    directory.applySection(change(entry("a", "kits", 1), 7), Start);
+    directory.applySection(change(entry("b", "documents", 1), 9), Start);
+    EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.id, UpstreamId("a"));
+    directory.applySection(SteeringFleet::routeSection({{"kits", 1}, {"documents", 1}}), Start);
+    EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.id, UpstreamId("b"));
+    // An announcement does not take the address of a registered upstream, but that of an entry
+    // whose service is not configured.
+    const Announcement announcement {
+        ServiceName("kits"), FailureDomainId("a"), {0x0a010001, 8172}, {0x0a010001, 8165}, 4};
+    EXPECT_FALSE(directory.announce(announcement, Start));
+    directory.applySection(SteeringFleet::routeSection({{"kits", 1}}), Start);
+    directory.applySection(removal("a", false, 10), Start);
+    EXPECT_TRUE(directory.announce(announcement, Start));
+    EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.service, ServiceName("kits"));
+}
+
 TEST(Directory, MalformedEntryRemovesOnlyItsOwnUpstream)
 {
     Directory directory;
