Identify lists of possible owners by route and digest

Cause: a process that started after the change fetches the list of an agent that knows the former service. It remembered the list by its digest, but added the agents to one route. The list of the second route has the same digest, so its former owners were never asked.

Ruled out: the routes' lists themselves (flows of the first route were found), the time of absence (a search of any length ends the same way).

Change: lists, their parts and the questions for them are kept by route and digest.

--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -8,6 +8,7 @@
 #include <bergamotglade/detail/steering/steering_event.hpp>
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -130,7 +131,16 @@
         Instant lastSentAt;
         Instant retryAt;
     };
-    /// Identifies the list of possible owners of an agent that denied the flow.
+    /// Identifies a list of possible owners. Two routes of the same services have lists with the
+    /// same digest, but the agents of a list are added to its route only.
+    struct ListId
+    {
+        Endpoint route;
+        std::uint64_t digest = 0;
+
+        friend auto operator<=>(const ListId &, const ListId &) = default;
+    };
+    /// The list of possible owners of an agent that denied the flow.
     struct ListOfAgent
     {
         std::uint64_t digest = 0;
@@ -197,12 +207,12 @@
     Searches m_searches;
     std::unordered_map<FlowKey, Location> m_locations;
     std::deque<FlowTimer> m_locationTimers; ///< oldest first
-    /// Lists of other agents that possibleOwners contains, by digest, with the time of their
-    /// arrival.
-    std::unordered_map<std::uint64_t, Instant> m_knownLists;
-    /// Agents of lists of which parts are missing, by digest.
-    std::unordered_map<std::uint64_t, std::unordered_set<Endpoint>> m_partialLists;
-    std::unordered_map<Endpoint, Instant> m_listQueriedAt; ///< by agent
+    /// Lists of other agents that possibleOwners contains, with the time of their arrival.
+    std::map<ListId, Instant> m_knownLists;
+    /// Agents of lists of which parts are missing.
+    std::map<ListId, std::unordered_set<Endpoint>> m_partialLists;
+    /// Last questions for a list, by agent and route.
+    std::map<std::pair<Endpoint, Endpoint>, Instant> m_listQueriedAt;
     OwnerSearchCounters m_counters;
 };
 
--- a/src/steering/owner_search.cpp
+++ b/src/steering/owner_search.cpp
@@ -191,11 +191,11 @@
     if (list.digest == m_hooks.listedDigest(route)) {
         return true;
     }
-    const auto known = m_knownLists.find(list.digest);
+    const auto known = m_knownLists.find({route, list.digest});
     if (known != m_knownLists.end() && now - known->second < m_settings.listTtl) {
         return true;
     }
-    Instant &queriedAt = m_listQueriedAt[list.agent];
+    Instant &queriedAt = m_listQueriedAt[{list.agent, route}];
     if (now - queriedAt >= m_settings.listQueryInterval) {
         queriedAt = now;
         m_hooks.sendOwnersQuery(list.agent, {m_settings.self, route});
@@ -206,13 +206,14 @@
 void OwnerSearch::onOwnersList(const OwnersList &list, Instant now)
 {
     m_hooks.addPossibleOwners(list.route, list.agents, now);
-    std::unordered_set<Endpoint> &received = m_partialLists[list.digest];
+    const ListId id {list.route, list.digest};
+    std::unordered_set<Endpoint> &received = m_partialLists[id];
     received.insert(list.agents.begin(), list.agents.end());
     if (received.size() < list.total) {
         return;
     }
-    m_partialLists.erase(list.digest);
-    m_knownLists[list.digest] = now;
+    m_partialLists.erase(id);
+    m_knownLists[id] = now;
     for (auto &[flow, search] : m_searches) {
         search.dueAt = now;
     }
@@ -355,6 +356,9 @@
     if (m_searches.empty()) {
         m_partialLists.clear();
     }
+    std::erase_if(m_listQueriedAt, [&](const auto &query) {
+        return now - query.second >= m_settings.listQueryInterval;
+    });
     while (!m_locationTimers.empty()
            && (now - m_locationTimers.front().at > m_settings.locationTtl
                || m_locations.size() > m_settings.locationsMax)) {
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -26,6 +26,11 @@
 
 const Endpoint SteeringFleet::RouteAddress {0xc6120001, 443}; // 198.18.0.1
 
+Endpoint SteeringFleet::routeAddress(std::size_t route)
+{
+    return {RouteAddress.address + static_cast<std::uint32_t>(route), RouteAddress.port};
+}
+
 SteeringFleet::SteeringFleet(std::uint64_t seed)
     : m_seed(seed)
     , m_codec(platform::packetCodec())
@@ -96,18 +101,20 @@
 
 SectionChange
 SteeringFleet::routeSection(const std::vector<std::pair<std::string, std::uint32_t>> &services,
-                            double coldPerSecond)
+                            double coldPerSecond, std::size_t routes)
 {
     RouteDocument document;
     document.version = 1;
     RouteEntry route;
-    route.address = RouteAddress;
     route.latencyObjective = Millis(250);
     for (const auto &[name, weight] : services) {
         route.services.push_back({ServiceName(name), Weight(weight)});
         document.services.push_back({ServiceName(name), coldPerSecond});
     }
-    document.routes.push_back(std::move(route));
+    for (std::size_t i = 0; i < routes; ++i) {
+        route.address = routeAddress(i);
+        document.routes.push_back(route);
+    }
     return {RootName, Revision(1), encode(document)};
 }
 
@@ -510,7 +517,7 @@
     }
 }
 
-std::size_t SteeringFleet::openFlow(std::size_t balancer, bool withoutRequest)
+std::size_t SteeringFleet::openFlow(std::size_t balancer, bool withoutRequest, std::size_t route)
 {
     constexpr Millis FirstRetransmissionDelay {200};
     constexpr Millis SecondRetransmissionDelay {600};
@@ -519,7 +526,7 @@
     CallerFlow flow;
     flow.key = {{CallerNet + static_cast<std::uint32_t>(index / 50'000) + 1,
                  static_cast<std::uint16_t>(FirstPort + index % 50'000)},
-                RouteAddress};
+                routeAddress(route)};
     flow.openedAt = m_now;
     flow.balancer = balancer;
     flow.withoutRequest = withoutRequest;
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -90,7 +90,7 @@
     [[nodiscard]] static SectionChange upstreamSectionAt(std::uint32_t host);
     [[nodiscard]] static SectionChange
     routeSection(const std::vector<std::pair<std::string, std::uint32_t>> &services,
-                 double coldPerSecond = 0);
+                 double coldPerSecond = 0, std::size_t routes = 1);
     /// @brief Section that takes a failure domain out, or its removal.
     [[nodiscard]] static SectionChange domainSection(const std::string &domain, bool out = true);
     /// @}
@@ -98,8 +98,9 @@
     /// @{
     /// @brief Opens a flow of a new caller, which sends one request once the flow is open, unless
     /// `withoutRequest` is set.
+    /// @param route index of the route, see routeAddress()
     /// @return index of the flow
-    std::size_t openFlow(std::size_t balancer, bool withoutRequest = false);
+    std::size_t openFlow(std::size_t balancer, bool withoutRequest = false, std::size_t route = 0);
     /// @brief Sends a request on an open flow and clears its `answered`.
     void sendRequest(std::size_t flow);
     /// @brief Lets the upstream of a flow send its last packet, after `bytes` of data.
@@ -150,7 +151,8 @@
     AgentSteeringSettings agentSettings;
     BalancerSteeringSettings balancerSettings;
 
-    static const Endpoint RouteAddress;
+    static const Endpoint RouteAddress; ///< address of the first route
+    [[nodiscard]] static Endpoint routeAddress(std::size_t route);
 
 private:
     struct AgentProcess
--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -331,6 +331,73 @@
     EXPECT_EQ(fleet.resetCount(), 0U);
 }
 
+// Guards against the list of one route counting as known for another route of the same services:
+// the former service's agents are then never asked, and its flows are reset.
+TEST(OwnerSearch, FlowsOfTwoRoutesThatMovedTogetherAreFound)
+{
+    SmallFleet fleet(0, 4);
+    fleet.addBalancer();
+    for (int i = 0; i < 4; ++i) {
+        fleet.addUpstream("documents", "b");
+    }
+    fleet.publish(SteeringFleet::routeSection({{"kits", 1}}, 0, 2));
+    std::vector<std::size_t> flows;
+    for (int i = 0; i < 40; ++i) {
+        flows.push_back(fleet.openFlow(0, true, i % 2));
+        fleet.runFor(Millis(5));
+    }
+    fleet.runFor(Millis(100));
+    // Both routes move to the other service, and all balancers and half of its agents start after
+    // that.
+    fleet.publish(SteeringFleet::routeSection({{"documents", 1}}, 0, 2));
+    for (std::size_t i = 4; i < 6; ++i) {
+        fleet.restartAgent(i, true);
+    }
+    fleet.restartBalancer(1);
+    for (const std::size_t route : {0U, 1U}) {
+        for (std::size_t i = route; i < flows.size(); i += 2) {
+            fleet.flow(flows[i]).balancer = 1;
+            fleet.sendRequest(flows[i]);
+        }
+        fleet.runFor(Millis(500));
+    }
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+}
+
+// Guards against the same for an owner whose entry is gone: it is on the list of one agent only.
+TEST(OwnerSearch, OwnerThatOnlyOneAgentListsIsFoundForEachRoute)
+{
+    SmallFleet fleet(0, 5);
+    fleet.addBalancer();
+    fleet.publish(SteeringFleet::routeSection({{"kits", 1}}, 0, 2));
+    std::vector<std::size_t> flows;
+    for (std::size_t i = 0; i < 40; ++i) {
+        flows.push_back(fleet.openFlow(0, true, i % 2));
+    }
+    fleet.runFor(Millis(100));
+    const std::size_t owner = fleet.upstreamOf(0);
+    const std::size_t witness = (owner + 1) % 5;
+    SectionChange removal = fleet.upstreamSection(owner);
+    removal.removed = true;
+    fleet.publish(removal);
+    for (std::size_t i = 0; i < 5; ++i) {
+        if (i != witness) {
+            fleet.restartAgent(i, true);
+        }
+    }
+    fleet.restartBalancer(1);
+    for (const std::size_t route : {0U, 1U}) {
+        for (std::size_t i = route; i < flows.size(); i += 2) {
+            fleet.flow(flows[i]).balancer = 1;
+            fleet.sendRequest(flows[i]);
+        }
+        fleet.runFor(Millis(500));
+    }
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+}
+
 TEST(OwnerSearch, UpstreamIsAskedOnceForAFlowThatItDoesNotHold)
 {
     // Nobody finds the flows of one agent, which is restarting. The callers' retransmissions must
