Ask agents of all services while former services may be unknown

Cause: only processes that saw the change know which services a route had. After the restarts no process listed the agents of the former service; not even an agent beside an upstream that held the flow asked it. All listed agents denied the flow, which counted as proof.

Change: for the lifetime of a flow after its first routes, unless at the first start of the whole system, a process takes the agents of all services for possible owners, after those of known ones. Agents that only others list are departed only if no entry names them.

--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -38,6 +38,9 @@
     /// Maximum lifetime of a flow. The agents of an upstream that has departed, and those of a
     /// service that was removed from a route, may own flows for this long.
     Millis flowLifetimeMax {60'000};
+    /// The whole system has started for the first time, together with this process: no flow was
+    /// opened under earlier routes.
+    bool isFirstStart = false;
     /// The directory has settled this long after the first routes arrived. Until then upstreams are
     /// also used if they are only announced: their entries may have expired, and upstreams register
     /// again within about two seconds of the platform's return.
@@ -85,11 +88,13 @@
     /// @brief Like serviceTable(), limited to the upstreams of the home failure domain.
     [[nodiscard]] const ServiceTable *homeServiceTable(const ServiceName &service) const;
     /// @brief Agents that may own flows of a route: those of its upstreams and former services, of
-    /// departed upstreams, and those that other agents listed.
+    /// departed upstreams, and those that other agents listed. For the lifetime of a flow after the
+    /// first routes, unless at the first start, those of all other services as well: the route may
+    /// have had one of them.
     /// @return valid until the directory changes
     /// @complexity constant; n log n in the upstreams at the first call after a change
     [[nodiscard]] const PossibleOwners &possibleOwners(const RouteEntry &route) const;
-    /// @brief The same without those that only other agents listed.
+    /// @brief The same without those that only other agents listed and those of other services.
     [[nodiscard]] const PossibleOwners &listedOwners(const RouteEntry &route) const;
     /// @brief Adds possible owners that another agent lists. This process cannot know them if it
     /// has started after the change that removed them from the configuration.
@@ -174,6 +179,8 @@
     DirectorySettings m_settings;
     std::optional<std::uint64_t> m_version;
     Instant m_firstRoutesAt;
+    /// Services that a route had before this process started may still own flows.
+    bool m_mayLackFormerServices = false;
     std::unordered_map<Endpoint, RouteEntry> m_routes;
     std::unordered_map<Endpoint, std::vector<FormerService>> m_formerServices;
     std::unordered_map<ServiceName, double> m_coldFlowRates;
--- a/include/bergamotglade/detail/steering/possible_owners.hpp
+++ b/include/bergamotglade/detail/steering/possible_owners.hpp
@@ -18,6 +18,9 @@
     Endpoint agent;
     /// Its upstream has no entry any more, but may still hold flows that were opened before.
     bool departed = false;
+    /// Its upstream is of a service that the route is not known to have had. It is asked after all
+    /// others.
+    bool ofOtherService = false;
 
     friend auto operator<=>(const PossibleOwner &, const PossibleOwner &) = default;
 };
@@ -38,8 +41,8 @@
     [[nodiscard]] const PossibleOwner *find(const Endpoint &agent) const;
     /// @brief Hash of the agents; differs between processes whose lists differ.
     [[nodiscard]] std::uint64_t digest() const noexcept { return m_digest; }
-    /// @brief Agents in the order in which they are asked for a flow. An agent that only one of two
-    /// processes lists does not change the order of the others.
+    /// @brief Agents in the order in which they are asked for a flow, those of other services last.
+    /// An agent that only one of two processes lists does not change the order of the others.
     /// @complexity n log n
     [[nodiscard]] std::vector<Endpoint> searchOrder(const FlowKey &flow) const;
 
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -35,6 +35,7 @@
     DirectorySettings settings;
     settings.homeDomain = common.domain;
     settings.flowLifetimeMax = steering.flowMax;
+    settings.isFirstStart = steering.isFirstStart;
     return settings;
 }
 
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -92,6 +92,7 @@
     applyFlowIdleTimeout(document.value(), now);
     if (!m_version) {
         m_firstRoutesAt = now;
+        m_mayLackFormerServices = !m_settings.isFirstStart;
     }
     m_version = document.value().version;
     return {};
@@ -357,6 +358,10 @@
     for (auto &[route, agents] : m_ownersOfOthers) {
         forgotten += std::erase_if(agents, [&](const auto &entry) { return now >= entry.second; });
     }
+    if (m_mayLackFormerServices && now - m_firstRoutesAt >= m_settings.flowLifetimeMax) {
+        m_mayLackFormerServices = false;
+        ++forgotten;
+    }
     if (forgotten > 0) {
         m_possibleOwners.clear();
     }
@@ -478,30 +483,31 @@
             services.push_back(f.service);
         }
     }
-    const auto isListed = [&](const ServiceName &service) {
-        return std::find(services.begin(), services.end(), service) != services.end();
+    std::vector<PossibleOwner> listed;
+    std::vector<PossibleOwner> others;
+    const auto add = [&](const ServiceName &service, const Endpoint &agent, bool departed) {
+        const bool isListed =
+            std::find(services.begin(), services.end(), service) != services.end();
+        if (isListed) {
+            listed.push_back({agent, departed, false});
+        } else if (m_mayLackFormerServices) {
+            others.push_back({agent, departed, true});
+        }
     };
-    std::vector<PossibleOwner> owners;
     for (const auto &[id, upstream] : m_upstreams) {
-        if (isListed(upstream.entry.service)) {
-            owners.push_back({upstream.entry.agent, false});
-        }
+        add(upstream.entry.service, upstream.entry.agent, false);
     }
     for (const DepartedUpstream &departed : m_departed) {
-        if (isListed(departed.service)) {
-            owners.push_back({departed.agent, true});
-        }
+        add(departed.service, departed.agent, true);
     }
-    OwnersOfRoute result;
-    result.listed = PossibleOwners(owners);
     const auto ofOthers = m_ownersOfOthers.find(route.address);
     if (ofOthers != m_ownersOfOthers.end()) {
         for (const auto &[agent, until] : ofOthers->second) {
-            owners.push_back({agent, true});
+            others.push_back({agent, !m_byAgent.contains(agent), false});
         }
     }
-    result.all = PossibleOwners(std::move(owners));
-    return result;
+    others.insert(others.end(), listed.begin(), listed.end());
+    return {PossibleOwners(std::move(listed)), PossibleOwners(std::move(others))};
 }
 
 bool Directory::routeIncludes(const RouteEntry &route, const ServiceName &service)
--- a/src/steering/possible_owners.cpp
+++ b/src/steering/possible_owners.cpp
@@ -8,9 +8,11 @@
 namespace {
 
 /// Place of an agent in the search order of a flow; ties are broken by address.
-std::pair<std::uint64_t, Endpoint> placeOf(const FlowKey &flow, const Endpoint &agent)
+using Place = std::tuple<bool, std::uint64_t, Endpoint>;
+
+Place placeOf(const FlowKey &flow, const PossibleOwner &owner)
 {
-    return {hashPair(flow.hash(), agent.packed()), agent};
+    return {owner.ofOtherService, hashPair(flow.hash(), owner.agent.packed()), owner.agent};
 }
 
 } // namespace
@@ -39,30 +41,29 @@
 
 std::vector<Endpoint> PossibleOwners::searchOrder(const FlowKey &flow) const
 {
-    std::vector<std::pair<std::uint64_t, Endpoint>> places;
+    std::vector<Place> places;
     places.reserve(m_owners.size());
     for (const PossibleOwner &owner : m_owners) {
-        places.push_back(placeOf(flow, owner.agent));
+        places.push_back(placeOf(flow, owner));
     }
     std::sort(places.begin(), places.end());
     std::vector<Endpoint> order;
     order.reserve(places.size());
-    for (const auto &[place, agent] : places) {
-        order.push_back(agent);
+    for (const Place &place : places) {
+        order.push_back(std::get<Endpoint>(place));
     }
     return order;
 }
 
 FlowHomes homesOf(const PossibleOwners &owners, const FlowKey &flow)
 {
-    using Place = std::pair<std::uint64_t, Endpoint>;
     std::array<Place, FlowHomeCount> best {};
     FlowHomes homes;
     for (const PossibleOwner &owner : owners.list()) {
         if (owner.departed) {
             continue;
         }
-        const Place place = placeOf(flow, owner.agent);
+        const Place place = placeOf(flow, owner);
         std::size_t at = homes.count;
         while (at > 0 && place < best[at - 1]) {
             --at;
@@ -77,7 +78,7 @@
         best[at] = place;
     }
     for (std::size_t i = 0; i < homes.count; ++i) {
-        homes.agents[i] = best[i].second;
+        homes.agents[i] = std::get<Endpoint>(best[i]);
     }
     return homes;
 }
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -37,6 +37,32 @@
 
 } // namespace
 
+TEST(DirectoryOwners, AgentsOfAllServicesAreListedForTheLifetimeOfAFlowAfterARestart)
+{
+    for (const bool isFirstStart : {true, false}) {
+        DirectorySettings settings;
+        settings.isFirstStart = isFirstStart;
+        Directory directory(settings);
+        directory.applySection(SteeringFleet::routeSection({{"kits", 1}}), Start);
+        directory.applySection(change(entry("x", "kits", 1)), Start);
+        directory.applySection(change(entry("y", "documents", 2)), Start);
+        const RouteEntry &route = *directory.routeByAddress(SteeringFleet::RouteAddress);
+        EXPECT_EQ(directory.listedOwners(route).list().size(), 1U);
+        EXPECT_EQ(directory.possibleOwners(route).list().size(), isFirstStart ? 1U : 2U);
+        // The agent of the other service is neither asked first nor the first home.
+        for (std::uint16_t port = 1; port < 50; ++port) {
+            const FlowKey flow {{1, port}, SteeringFleet::RouteAddress};
+            const PossibleOwners &owners = directory.possibleOwners(route);
+            EXPECT_EQ(owners.searchOrder(flow).front(), entry("x", "kits", 1).agent);
+            EXPECT_EQ(*homesOf(owners, flow).begin(), entry("x", "kits", 1).agent);
+        }
+        directory.expire(Start + Millis(59'999));
+        EXPECT_EQ(directory.possibleOwners(route).list().size(), isFirstStart ? 1U : 2U);
+        directory.expire(Start + Millis(60'000));
+        EXPECT_EQ(directory.possibleOwners(route).list().size(), 1U);
+    }
+}
+
 TEST(FlowIdleTimeout, IsTheLongestConfiguredWithinTheLifetimeOfAFlow)
 {
     Directory directory;
--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -398,6 +398,25 @@
     EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
 }
 
+// Guards against the flows of a moved route being reset once no process is left that knew its
+// former service.
+TEST(OwnerSearch, FlowsOfAFormerServiceAreFoundAfterAllProcessesHaveRestarted)
+{
+    OpenFlows fleet(4);
+    for (int i = 0; i < 4; ++i) {
+        fleet.addUpstream("documents", "b");
+    }
+    fleet.publish(SteeringFleet::routeSection({{"documents", 1}}));
+    for (std::size_t i = 0; i < 8; ++i) {
+        fleet.restartAgent(i, true);
+    }
+    fleet.restartBalancer(1);
+    fleet.moveTo(1);
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(countAnswered(fleet, 40), 40U);
+    EXPECT_EQ(fleet.resetCount(), 0U);
+}
+
 TEST(OwnerSearch, UpstreamIsAskedOnceForAFlowThatItDoesNotHold)
 {
     // Nobody finds the flows of one agent, which is restarting. The callers' retransmissions must
