Let the soak's upstreams answer again, and listen while they are up

The soak's upstream sent each answer once and ignored a repeated request, unlike those of the users' pages, which send an answer until it is acknowledged: an answer that is lost while an agent restarts was lost for good. It also served no TCP, so an upstream that is up looked like one that has ended to an agent that connects to it.

No check is changed. The second point makes one stricter: an agent that takes silence for a crash now meets upstreams that listen. Daemons started by tools inherit no descriptors any more; they kept the port of a crashed upstream in use.

--- a/tools/scenario/child_process.cpp
+++ b/tools/scenario/child_process.cpp
@@ -66,6 +66,8 @@
     posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(),
                                      O_CREAT | O_WRONLY | O_APPEND, LogMode);
+    // A child that inherits a listening socket keeps its port in use.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::unique_ptr<ChildProcess> child(new ChildProcess);
     const int spawnError =
         posix_spawn(&child->m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
--- a/tools/soak/ends.cpp
+++ b/tools/soak/ends.cpp
@@ -70,6 +70,7 @@
     m_initialSequence = static_cast<std::uint32_t>(hashBytes(m_id));
     m_flows.clear();
     m_lastRequests.clear();
+    m_lastAnswers.clear();
     m_open.clear();
     m_pendingAnswers.clear();
     draining = false;
@@ -131,8 +132,13 @@
     std::string &lastRequest = m_lastRequests[segment.flow];
     if (lastRequest != request) {
         lastRequest = request;
+        m_lastAnswers.erase(segment.flow);
         m_pendingAnswers.push_back(
             {Clock::now() + ServiceTime, segment.flow, "answer to " + request});
+    } else if (const auto answer = m_lastAnswers.find(segment.flow);
+               answer != m_lastAnswers.end()) {
+        // The answer was lost. An upstream sends it again until it is acknowledged.
+        send(answer->second);
     }
 }
 
@@ -145,10 +151,30 @@
             // A draining upstream closes each flow with the next answer on it.
             const auto flags =
                 static_cast<std::uint8_t>(standins::Ack | (draining ? standins::Fin : 0));
-            send(standins::makePacket(pending.flow, false, flags, m_initialSequence + 1, 2,
-                                      pending.answer));
+            PacketBytes &answer = m_lastAnswers[pending.flow];
+            answer = standins::makePacket(pending.flow, false, flags, m_initialSequence + 1, 2,
+                                          pending.answer);
+            send(answer);
         }
     }
+    updateHealthServer();
+}
+
+void SoakUpstream::updateHealthServer()
+{
+    if (down) {
+        m_healthServer.reset();
+    } else if (!m_healthServer) {
+        auto server = HttpServer::listen(
+            m_io, m_local,
+            [](const HttpRequest &, const HttpResponder &respond,
+               const std::function<bool()> & /*isDisconnected*/) { respond(HttpReply {}); });
+        if (!server) {
+            m_reportViolation("upstream cannot listen: " + describe(server.error()));
+            return;
+        }
+        m_healthServer = std::move(server.value());
+    }
 }
 
 SoakCaller::SoakCaller(boost::asio::io_context &io, const Endpoint &local,
--- a/tools/soak/ends.hpp
+++ b/tools/soak/ends.hpp
@@ -6,6 +6,7 @@
 #include "machine.hpp"
 
 #include <bergamotglade/detail/core/random.hpp>
+#include <bergamotglade/detail/net/http.hpp>
 #include <bergamotglade/detail/net/udp_socket.hpp>
 
 #include <packets.hpp>
@@ -56,6 +57,8 @@
 
     void onPacket(const Endpoint &from, std::string_view bytes);
     void send(const PacketBytes &bytes);
+    /// @brief Listens for health checks while the upstream is up.
+    void updateHealthServer();
 
     boost::asio::io_context &m_io;
     Endpoint m_local;
@@ -71,6 +74,8 @@
     std::set<FlowKey> m_flows; ///< including those whose handshake is not complete
     std::set<FlowKey> m_open;
     std::map<FlowKey, std::string> m_lastRequests; ///< last request of each flow
+    std::map<FlowKey, PacketBytes> m_lastAnswers; ///< answers to them
+    std::unique_ptr<HttpServer> m_healthServer;
     std::deque<PendingAnswer> m_pendingAnswers; ///< by due time
     std::optional<Instant> m_noNewFlowsSince;
 };
