--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -3,6 +3,7 @@
 #include "steering_fixture.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 
@@ -219,6 +220,61 @@
     EXPECT_EQ(directory.upstreamByAgent({0x0a010001, 8172})->entry.service, ServiceName("kits"));
 }
 
+// Processes that saw different sequences of changes agree on who uses an address: a process that
+// saw them all and one that starts with the result, in any order.
+RC_GTEST_PROP(DirectoryProperty, UseOfAddressesDependsOnTheEntriesOnly, (std::uint64_t seed))
+{
+    Random random = seededRandom(seed);
+    const std::vector<std::string> services = {"kits", "documents", "printing"};
+    Directory directory;
+    std::map<SectionName, SectionChange> newest;
+    std::uint64_t revision = 1;
+    const auto apply = [&](SectionChange section) {
+        section.revision = Revision(++revision);
+        directory.applySection(section, Start);
+        newest[section.name] = section;
+    };
+    for (int step = 0; step < 30; ++step) {
+        const std::string id = "u" + std::to_string(randomBelow(random, 6));
+        switch (randomBelow(random, 4)) {
+        case 0:
+            apply(SteeringFleet::routeSection({{services[randomBelow(random, 3)], 1}}));
+            break;
+        case 1:
+            apply(removal(id, false));
+            break;
+        default:
+            apply(change(entry(id, services[randomBelow(random, 3)],
+                               1 + static_cast<std::uint32_t>(randomBelow(random, 3)))));
+        }
+    }
+    std::vector<SectionChange> sections;
+    for (const auto &[name, section] : newest) {
+        sections.insert(sections.begin()
+                            + static_cast<std::ptrdiff_t>(randomBelow(random, sections.size() + 1)),
+                        section);
+    }
+    Directory fresh;
+    for (const SectionChange &section : sections) {
+        fresh.applySection(section, Start);
+    }
+    RC_ASSERT(fresh.upstreams().size() == directory.upstreams().size());
+    for (std::uint32_t host = 1; host <= 3; ++host) {
+        const Endpoint agent = entry("", "", host).agent;
+        const KnownUpstream *used = directory.upstreamByAgent(agent);
+        const KnownUpstream *other = fresh.upstreamByAgent(agent);
+        RC_ASSERT((used == nullptr) == (other == nullptr));
+        if (used != nullptr) {
+            RC_ASSERT(used->entry.id == other->entry.id);
+            RC_ASSERT(directory.upstreamByAddress(used->entry.address) == used);
+        }
+    }
+    for (const std::string &service : services) {
+        RC_ASSERT((directory.serviceTable(ServiceName(service)) == nullptr)
+                  == (fresh.serviceTable(ServiceName(service)) == nullptr));
+    }
+}
+
 TEST(Directory, MalformedEntryRemovesOnlyItsOwnUpstream)
 {
     Directory directory;
