--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -270,7 +270,7 @@
     [[nodiscard]] std::uint64_t listedDigestOf(const Endpoint &route) const;
     /// @brief Tells the homes of the flows that have become long their owner.
     void reportLocations(Instant now);
-    /// @param needsAnswer a running upstream answers the packet at once or retransmissions of it
+    /// @param needsAnswer whether a running upstream answers the packet, or a retransmission of it
     void sendToUpstream(const PacketBytes &bytes, bool needsAnswer, Instant now);
     void sendReset(const FlowKey &key, std::uint32_t acknowledgement, std::string_view reason,
                    Instant now);
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -157,7 +157,7 @@
     bool claimAgent(KnownUpstream upstream, Instant now);
     /// @brief Keeps an entry whose agent another upstream uses.
     void displace(KnownUpstream upstream);
-    /// @brief Whether a claim to an agent comes before another one.
+    /// @brief Whether a claim to an agent is at least as good as another one.
     [[nodiscard]] bool comesBefore(const KnownUpstream &a, const KnownUpstream &b) const;
     /// @brief Lets upstreams whose claims have become the better ones take their agents.
     void reviewClaims(Instant now);
