--- a/tests/unit-steering-search.cpp
+++ b/tests/unit-steering-search.cpp
@@ -38,6 +38,38 @@
     std::vector<std::size_t> flows;
 };
 
+/// A fleet of `upstreams` with two balancers and 40 open flows, placed by the first balancer: the
+/// flows with even indices are of the first of two routes, the others of the second.
+struct FlowsOfTwoRoutes : SmallFleet
+{
+    explicit FlowsOfTwoRoutes(std::size_t upstreams)
+        : SmallFleet(0, upstreams)
+    {
+        addBalancer();
+        publish(routeSection({{"kits", 1}}, 0, 2));
+        for (std::size_t i = 0; i < 40; ++i) {
+            flows.push_back(openFlow(0, true, i % 2));
+            runFor(Millis(5));
+        }
+        runFor(Millis(100));
+    }
+
+    /// Sends a request on each flow through the second balancer, those of the first route before
+    /// those of the second.
+    void moveRouteByRoute()
+    {
+        for (const std::size_t route : {0U, 1U}) {
+            for (std::size_t i = route; i < flows.size(); i += 2) {
+                flow(flows[i]).balancer = 1;
+                sendRequest(flows[i]);
+            }
+            runFor(Millis(500));
+        }
+    }
+
+    std::vector<std::size_t> flows;
+};
+
 SectionChange removalOf(const SectionChange &entry)
 {
     SectionChange removal = entry;
@@ -335,18 +367,10 @@
 // the former service's agents are then never asked, and its flows are reset.
 TEST(OwnerSearch, FlowsOfTwoRoutesThatMovedTogetherAreFound)
 {
-    SmallFleet fleet(0, 4);
-    fleet.addBalancer();
+    FlowsOfTwoRoutes fleet(4);
     for (int i = 0; i < 4; ++i) {
         fleet.addUpstream("documents", "b");
     }
-    fleet.publish(SteeringFleet::routeSection({{"kits", 1}}, 0, 2));
-    std::vector<std::size_t> flows;
-    for (int i = 0; i < 40; ++i) {
-        flows.push_back(fleet.openFlow(0, true, i % 2));
-        fleet.runFor(Millis(5));
-    }
-    fleet.runFor(Millis(100));
     // Both routes move to the other service, and all balancers and half of its agents start after
     // that.
     fleet.publish(SteeringFleet::routeSection({{"documents", 1}}, 0, 2));
@@ -354,48 +378,27 @@
         fleet.restartAgent(i, true);
     }
     fleet.restartBalancer(1);
-    for (const std::size_t route : {0U, 1U}) {
-        for (std::size_t i = route; i < flows.size(); i += 2) {
-            fleet.flow(flows[i]).balancer = 1;
-            fleet.sendRequest(flows[i]);
-        }
-        fleet.runFor(Millis(500));
-    }
+    fleet.moveRouteByRoute();
     EXPECT_EQ(fleet.resetCount(), 0U);
-    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+    EXPECT_EQ(countAnswered(fleet, fleet.flows.size()), fleet.flows.size());
 }
 
 // Guards against the same for an owner whose entry is gone: it is on the list of one agent only.
 TEST(OwnerSearch, OwnerThatOnlyOneAgentListsIsFoundForEachRoute)
 {
-    SmallFleet fleet(0, 5);
-    fleet.addBalancer();
-    fleet.publish(SteeringFleet::routeSection({{"kits", 1}}, 0, 2));
-    std::vector<std::size_t> flows;
-    for (std::size_t i = 0; i < 40; ++i) {
-        flows.push_back(fleet.openFlow(0, true, i % 2));
-    }
-    fleet.runFor(Millis(100));
+    FlowsOfTwoRoutes fleet(5);
     const std::size_t owner = fleet.upstreamOf(0);
     const std::size_t witness = (owner + 1) % 5;
-    SectionChange removal = fleet.upstreamSection(owner);
-    removal.removed = true;
-    fleet.publish(removal);
+    fleet.publish(removalOf(fleet.upstreamSection(owner)));
     for (std::size_t i = 0; i < 5; ++i) {
         if (i != witness) {
             fleet.restartAgent(i, true);
         }
     }
     fleet.restartBalancer(1);
-    for (const std::size_t route : {0U, 1U}) {
-        for (std::size_t i = route; i < flows.size(); i += 2) {
-            fleet.flow(flows[i]).balancer = 1;
-            fleet.sendRequest(flows[i]);
-        }
-        fleet.runFor(Millis(500));
-    }
+    fleet.moveRouteByRoute();
     EXPECT_EQ(fleet.resetCount(), 0U);
-    EXPECT_EQ(countAnswered(fleet, flows.size()), flows.size());
+    EXPECT_EQ(countAnswered(fleet, fleet.flows.size()), fleet.flows.size());
 }
 
 // Guards against the flows of a moved route being reset once no process is left that knew its
