--- a/review/standins-2/harness.hpp
+++ b/review/standins-2/harness.hpp
@@ -1209,7 +1209,7 @@
     {
         world.ticks.push_back([this](std::int64_t now) { tick(now); });
     }
-    void open(const Address &route, int requests, std::int64_t pauseMs)
+    FlowId open(const Address &route, int requests, std::int64_t pauseMs)
     {
         Flow flow;
         flow.id = {address(m_ip, m_nextPort++), route};
@@ -1224,6 +1224,7 @@
         m_world.note("sent " + flow.attempt);
         auto [at, isNew] = m_flows.emplace(flow.id, flow);
         sendSyn(at->second);
+        return flow.id;
     }
 
     std::uint64_t sent = 0;
