Hold flows of unknown routes until the platform has confirmed the view

Cause: BalancerSteering::onPacket() took a route that is missing from the own view for a route that does not exist. Callers use a route as soon as the platform has acknowledged it, and a version takes up to some hundred milliseconds to reach all processes.

Ruled out: a loss of the flow's owner (its upstream runs the next request); an older view after the balancer's restart alone (the reset flows were on the newest one or two routes only); silence in place of the reset (callers of dropped routes would wait for their deadlines).

Change: UnroutedFlows holds the packets of such flows and asks the platform and peers for news. A route counts as absent once the view contains all that the platform had acknowledged when the flow's first packet arrived (Dissemination::isConfirmedSince()). Flows that the balancer knew before their route was dropped are reset at once as before, and so are new flows on a dropped route. The same question at agents: opening packets on an unknown route were dropped, which cost the caller a retransmission, and the packets of open flows that reached a home without the route as well; both are held.

Why it works: a version that a caller can have used was acknowledged before the caller's packet arrived. A read that starts after that returns it, so a balancer either learns the route or has the proof that there is none.

--- a/include/bergamotglade/detail/daemon/control_plane.hpp
+++ b/include/bergamotglade/detail/daemon/control_plane.hpp
@@ -40,6 +40,8 @@
     std::function<void(nlohmann::json &)> addStatus;
     /// Called after a change of the configuration in force.
     std::function<void()> onChange;
+    /// Called after an own read of the platform has confirmed the configuration in force.
+    std::function<void()> onConfirmed;
     /// Reads the configuration through a platform adapter; if empty, the control plane reads it
     /// itself, from `/v1/changes` of the platform.
     ConfigurationSource source;
--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -72,6 +72,13 @@
     /// agents at once, four times per gossip interval.
     Millis isolationTimeout {1500};
     std::size_t fanOut = 4; ///< peers notified at once of a new revision
+    /// Longest time that news of the platform takes to reach all processes by way of others, while
+    /// the platform may be slow to answer.
+    Millis spreadTimeMax {1500};
+    /// Shortest interval between two reads of the platform, and between two rounds of notices, that
+    /// requestConfirmation() starts.
+    Millis confirmationReadInterval {250};
+    Millis confirmationNoticeInterval {100};
 };
 
 struct DisseminationCounters
@@ -82,6 +89,7 @@
     std::uint64_t platformReads = 0;
     std::uint64_t platformFailures = 0;
     std::uint64_t platformStale = 0; ///< answers older than the stored revision, ignored
+    std::uint64_t confirmationReads = 0; ///< platform reads started by requestConfirmation()
     std::uint64_t pauses = 0;
     std::uint64_t eraChanges = 0; ///< times that the platform was restored from a copy
 };
@@ -98,6 +106,8 @@
     std::function<void()> readVmList;
     /// Called after a change has taken effect.
     std::function<void()> onChange;
+    /// Called after an own read of the platform has confirmed the view.
+    std::function<void()> onConfirmed;
     /// Applies sections of another document format; empty for the YAML format.
     SectionHandler applySection;
     /// Order of the contents of a section; empty if contents have none.
@@ -133,6 +143,9 @@
     void onRevisionSeen(const Endpoint &peer, Revision peerRevision, Instant now);
     /// @brief Tells peers that the process is about to stop, or that it no longer is.
     void setLeaving(bool leaving, Instant now);
+    /// @brief Asks the platform and peers whether the view is the newest one. Calls in quick
+    /// succession start few reads, see DisseminationSettings::confirmationReadInterval.
+    void requestConfirmation(Instant now);
     /// @brief Checks for a pause since the last call.
     /// @return whether the process is ready and, after a pause, its view has been confirmed again
     /// or the confirmation has timed out
@@ -159,6 +172,11 @@
     /// @brief Time since the platform last confirmed the revision then held, by an own read or as
     /// reported by a peer; 24 h if it has not been confirmed yet.
     [[nodiscard]] Millis platformAge(Instant now) const;
+    /// @brief Whether the view contains all that the platform had acknowledged at `since`: a read
+    /// of the platform that started later returned nothing newer, or another process reports this
+    /// of a time spreadTimeMax later. Also if this process did not reach the platform after `since`
+    /// and none has reached it for spreadTimeMax: the platform then cannot tell any process more.
+    [[nodiscard]] bool isConfirmedSince(Instant since, Instant now) const;
     /// @brief All processes that this one can contact.
     [[nodiscard]] std::vector<Endpoint> peers() const;
     [[nodiscard]] const DisseminationSettings &settings() const noexcept { return m_settings; }
@@ -175,6 +193,9 @@
     [[nodiscard]] bool isAgent(const Endpoint &peer) const;
     void fetch(const Endpoint &peer, Instant now);
     void readPlatform(Instant now);
+    void readPlatformIfDue(Instant now);
+    /// @brief Whether a requested confirmation is missing and may be asked of the platform now.
+    [[nodiscard]] bool isConfirmationReadDue(Instant now) const;
     void readVmList(Instant now);
     void scheduleRetry(Instant now);
     void applyBatch(const ChangeBatch &batch, Instant now);
@@ -221,6 +242,12 @@
     Instant m_fetchStartedAt;
     Instant m_startedAt;
     Instant m_platformConfirmedAt; ///< platformAge() counts from here
+    Instant m_confirmedSince; ///< the latest own read that confirmed the view started then
+    Instant m_failedReadStartedAt;
+    Instant m_viewChangedAt;
+    Instant m_confirmationRequestedAt;
+    Instant m_nextConfirmationRead;
+    Instant m_nextConfirmationNotices;
     Instant m_nextGossip;
     Instant m_nextPlatformRead;
     Instant m_nextVmList;
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -15,6 +15,7 @@
 #include <bergamotglade/detail/steering/owned_flow.hpp>
 #include <bergamotglade/detail/steering/owner_search.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
+#include <bergamotglade/detail/steering/unrouted_flows.hpp>
 
 #include <deque>
 
@@ -141,6 +142,7 @@
     /// A longer interval between two ticks means that the process was paused: timeouts that passed
     /// meanwhile are not taken as failures.
     Millis pauseThreshold {200};
+    UnroutedFlowsSettings unrouted;
 };
 
 /// Totals since the start of the process, exported as metrics.
@@ -194,6 +196,9 @@
     std::function<std::vector<Endpoint>()> knownProcesses;
     /// Whether the configuration view is recent enough to act on.
     std::function<bool(Instant)> mayAct;
+    /// See UnroutedFlowsHooks.
+    std::function<void(Instant now)> requestConfirmation;
+    std::function<bool(Instant since, Instant now)> isConfirmedSince;
     SteeringLog log;
 };
 
@@ -223,6 +228,8 @@
     }
     /// @brief Must be called at least every 20 ms.
     void onTick(Instant now);
+    /// @brief Call after a change or a confirmation of the configuration view.
+    void onViewChange(Instant now) { m_unrouted.resolve(now); }
     /// @brief Stops accepting new flows.
     void startDraining(Instant now);
 
@@ -242,6 +249,7 @@
     /// @brief Longest expected wait of a queued flow that is kept.
     [[nodiscard]] Millis queueExpected() const noexcept { return m_queueExpected; }
     [[nodiscard]] const OwnerSearch &ownerSearch() const noexcept { return m_search; }
+    [[nodiscard]] const UnroutedFlows &unroutedFlows() const noexcept { return m_unrouted; }
 
 private:
     /// Queued flows that go before a flow, itself included.
@@ -328,6 +336,9 @@
     void sendFlowLocation(const Endpoint &process, const Endpoint &owner, const FlowKey &key,
                           OwnedFlow &flow, Instant now);
     [[nodiscard]] OwnerSearchHooks searchHooks();
+    /// @brief Holds a packet of a flow that cannot be handled without its route.
+    void holdUnrouted(const Segment &segment, PacketBytes bytes, const Endpoint &from, Instant now);
+    [[nodiscard]] UnroutedFlowsHooks unroutedHooks();
     [[nodiscard]] OwnUpstreamState askUpstream(const FlowKey &flow, const PacketBytes &bytes,
                                                std::optional<Endpoint> asker, Instant now);
     /// @brief Ends the questions for a flow, with the upstream's packet as the proof.
@@ -406,6 +417,7 @@
     std::deque<FlowKey> m_restartQueries; ///< flows that the restarted upstream is asked for
     Instant m_nextRestartQueriesAt;
     OwnerSearch m_search;
+    UnroutedFlows m_unrouted;
     /// Processes that recently sent new flows.
     std::unordered_map<Endpoint, Sender> m_recentSenders;
     std::uint32_t m_runningRequests = 0;
--- a/include/bergamotglade/detail/steering/balancer_steering.hpp
+++ b/include/bergamotglade/detail/steering/balancer_steering.hpp
@@ -9,6 +9,7 @@
 #include <bergamotglade/detail/steering/flow_explanation.hpp>
 #include <bergamotglade/detail/steering/segment.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
+#include <bergamotglade/detail/steering/unrouted_flows.hpp>
 
 #include <deque>
 
@@ -53,6 +54,7 @@
     /// meanwhile are not taken as failures.
     Millis pauseThreshold {200};
     EntryLinkSettings link;
+    UnroutedFlowsSettings unrouted;
 };
 
 /// Totals since the start of the process, exported as metrics.
@@ -82,6 +84,9 @@
     std::function<void(const Endpoint &caller, const PacketBytes &)> sendReset;
     /// Whether the configuration view is recent enough to act on.
     std::function<bool(Instant)> mayAct;
+    /// See UnroutedFlowsHooks.
+    std::function<void(Instant now)> requestConfirmation;
+    std::function<bool(Instant since, Instant now)> isConfirmedSince;
     SteeringLog log;
 };
 
@@ -100,6 +105,8 @@
     void onFlowLocated(const FlowLocated &located, Instant now);
     /// @brief Must be called at least every 20 ms.
     void onTick(Instant now);
+    /// @brief Call after a change or a confirmation of the configuration view.
+    void onViewChange(Instant now) { m_unrouted.resolve(now); }
 
     /// @brief Changes the rate of the outgoing link; 0 switches the limits on bulk flows off.
     void setLinkRate(double mbps, Instant now) { m_link.setRate(mbps, now); }
@@ -108,6 +115,7 @@
     [[nodiscard]] FlowExplanation explain(const FlowKey &flow, Instant now) const;
     [[nodiscard]] const BalancerSteeringCounters &counters() const noexcept { return m_counters; }
     [[nodiscard]] const EntryLink &link() const noexcept { return m_link; }
+    [[nodiscard]] const UnroutedFlows &unroutedFlows() const noexcept { return m_unrouted; }
     [[nodiscard]] std::size_t flowCount() const noexcept { return m_flows.size(); }
 
 private:
@@ -139,6 +147,12 @@
     void refuseForLink(const Segment &segment, std::string_view reason, Instant now);
     /// @}
     void holdOpening(const Segment &segment, PacketBytes bytes, Instant now);
+    /// @brief Handles a packet whose route is not in the configuration view.
+    /// @param receivedAt when this process received it
+    void onUnrouted(const Segment &segment, PacketBytes bytes, Instant receivedAt, Instant now);
+    [[nodiscard]] UnroutedFlowsHooks unroutedHooks();
+    /// @brief Places an opening packet that this process has held since `lastCopyAt`.
+    void resumeOpening(const Segment &segment, PacketBytes bytes, Instant lastCopyAt, Instant now);
     void placeHeldOpenings(Instant now);
     void offerToAgent(const FlowKey &key, const RouteEntry &route, PlacedFlow &flow,
                       std::string_view reason, Instant now);
@@ -182,6 +196,7 @@
         Instant lastCopyAt; ///< when the latest copy of the packet arrived
     };
     std::unordered_map<FlowKey, HeldOpening> m_heldOpenings;
+    UnroutedFlows m_unrouted;
     EntryLink m_link;
     std::unordered_map<FlowKey, HeldOpening> m_linkOpenings; ///< opening packets that wait for it
     std::deque<FlowKey> m_linkQueue; ///< flows of m_linkOpenings, oldest first
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -90,6 +90,12 @@
 
     /// @brief Returns the route of an address, or null.
     [[nodiscard]] const RouteEntry *routeByAddress(const Endpoint &address) const;
+    /// @brief Whether a version known here has dropped the route of an address within the lifetime
+    /// of a flow and no later one has added it again.
+    [[nodiscard]] bool wasRouteDropped(const Endpoint &address) const
+    {
+        return m_droppedRoutes.contains(address);
+    }
     /// @brief Selects the service of a new flow according to the weights of the route.
     [[nodiscard]] static ServiceName serviceFor(const RouteEntry &route, const FlowKey &flow);
     /// @brief Returns the candidates for new flows of a service; null if none of its upstreams
@@ -212,6 +218,8 @@
     /// Services that a route had before this process started may still own flows.
     bool m_mayLackFormerServices = false;
     std::unordered_map<Endpoint, RouteEntry> m_routes;
+    /// Addresses whose routes were dropped, with the time until which this is remembered.
+    std::unordered_map<Endpoint, Instant> m_droppedRoutes;
     bool m_prioritiesDiffer = false;
     std::unordered_map<Endpoint, std::vector<FormerService>> m_formerServices;
     std::unordered_map<ServiceName, double> m_coldFlowRates;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -136,6 +136,7 @@
             m_hooks.onChange();
         }
     };
+    hooks.onConfirmed = m_hooks.onConfirmed;
     m_dissemination =
         std::make_unique<Dissemination>(std::move(settings), std::move(hooks), std::move(random));
 }
@@ -184,6 +185,9 @@
                             counters.noticesReceived);
     m_metrics.addCounterRef("peer_fetches", "Changes fetched from peers", counters.peerFetches);
     m_metrics.addCounterRef("platform_reads", "Calls to the platform", counters.platformReads);
+    m_metrics.addCounterRef("confirmation_reads",
+                            "Calls to the platform to find out whether the view is the newest one",
+                            counters.confirmationReads);
     m_metrics.addCounterRef("platform_failures", "Calls to the platform that failed",
                             counters.platformFailures);
     m_metrics.addCounterRef("platform_stale", "Answers of the platform older than what is in force",
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -98,6 +98,9 @@
         hooks.explain = [this](const FlowKey &flow) {
             return m_steering->explain(flow, Clock::now());
         };
+        hooks.onViewChange = [this](Instant now) {
+            m_steering->onViewChange(now);
+        };
         auto runtime = SteeringRuntime::open(m_process.io(), m_settings.common,
                                              *m_settings.steering, m_adapter, std::move(hooks));
         if (!runtime) {
@@ -180,6 +183,12 @@
         hooks.mayAct = [this](Instant now) {
             return m_runtime->mayAct(now);
         };
+        hooks.requestConfirmation = [this](Instant now) {
+            m_runtime->requestConfirmation(now);
+        };
+        hooks.isConfirmedSince = [this](Instant since, Instant now) {
+            return m_runtime->isConfirmedSince(since, now);
+        };
         hooks.log = m_runtime->log();
         return hooks;
     }
@@ -263,6 +272,7 @@
         metrics.addGauge("locations", "Flows whose owner is known as one of their homes", [this] {
             return static_cast<double>(m_steering->ownerSearch().locationCount());
         });
+        m_runtime->addUnroutedMetrics(m_steering->unroutedFlows().counters());
         metrics.addGauge("queue_expected_ms", "Longest expected wait of a waiting flow", [this] {
             return static_cast<double>(m_steering->queueExpected().count());
         });
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -100,6 +100,9 @@
         hooks.explain = [this](const FlowKey &flow) {
             return m_steering->explain(flow, Clock::now());
         };
+        hooks.onViewChange = [this](Instant now) {
+            m_steering->onViewChange(now);
+        };
         auto runtime = SteeringRuntime::open(m_process.io(), m_settings.common,
                                              *m_settings.steering, m_adapter, std::move(hooks));
         if (!runtime) {
@@ -117,6 +120,12 @@
         steeringHooks.mayAct = [this](Instant now) {
             return m_runtime->mayAct(now);
         };
+        steeringHooks.requestConfirmation = [this](Instant now) {
+            m_runtime->requestConfirmation(now);
+        };
+        steeringHooks.isConfirmedSince = [this](Instant since, Instant now) {
+            return m_runtime->isConfirmedSince(since, now);
+        };
         steeringHooks.log = m_runtime->log();
         BalancerSteeringSettings steeringSettings;
         steeringSettings.link.mbps = m_settings.steering->linkMbps;
@@ -206,6 +215,7 @@
         metrics.addCounterRef("repeats_dropped",
                               "Repeated data packets dropped: the first copy is in the link",
                               counters.repeatsDropped);
+        m_runtime->addUnroutedMetrics(m_steering->unroutedFlows().counters());
         metrics.addGauge("link_delay_ms", "Modelled delay of the outgoing link",
                          [this] { return m_steering->link().delayMs(Clock::now()); });
         metrics.addGauge("transfers", "Flows in transfer", [this] {
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -159,6 +159,10 @@
     };
     hooks.onChange = [this] {
         onDirectoryChange();
+        m_hooks.onViewChange(Clock::now());
+    };
+    hooks.onConfirmed = [this] {
+        m_hooks.onViewChange(Clock::now());
     };
     hooks.onRequest = [this](const HttpRequest &request, const HttpResponder &respond) {
         const bool isFlowQuery = request.target.starts_with("/v1/flow?");
@@ -254,6 +258,19 @@
              {}});
 }
 
+void SteeringRuntime::addUnroutedMetrics(const UnroutedFlowsCounters &counters)
+{
+    Metrics &metrics = m_plane->metrics();
+    metrics.addCounterRef("unrouted_held", "Flows held because their route is not known here",
+                          counters.flowsHeld);
+    metrics.addCounterRef("unrouted_released", "Held flows whose route became known",
+                          counters.flowsReleased);
+    metrics.addCounterRef("unrouted_rejected", "Held flows whose route does not exist",
+                          counters.flowsRejected);
+    metrics.addCounterRef("unrouted_drops", "Packets of held flows dropped without an answer",
+                          counters.packetsDropped);
+}
+
 void SteeringRuntime::sendPacket(const Endpoint &to, std::string_view bytes)
 {
     m_packetSocket->send(to, bytes);
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -9,6 +9,7 @@
 #include <bergamotglade/detail/steering/directory.hpp>
 #include <bergamotglade/detail/steering/flow_explanation.hpp>
 #include <bergamotglade/detail/steering/steering_event.hpp>
+#include <bergamotglade/detail/steering/unrouted_flows.hpp>
 
 #include <optional>
 
@@ -35,6 +36,8 @@
     std::function<FlowExplanation(const FlowKey &)> explain;
     /// Whether the process accepts packets.
     std::function<bool()> isReady;
+    /// Called after a change or a confirmation of the directory.
+    std::function<void(Instant)> onViewChange;
 };
 
 /// Owns the sockets and the directory of one steering process.
@@ -53,6 +56,14 @@
     [[nodiscard]] ControlPlane &plane() noexcept { return *m_plane; }
     /// @brief Whether the process may act on its view of the fleet.
     [[nodiscard]] bool mayAct(Instant now) { return m_plane->dissemination().mayAct(now); }
+    /// @brief Asks the platform and other processes for news, see Dissemination.
+    void requestConfirmation(Instant now) { m_plane->dissemination().requestConfirmation(now); }
+    /// @brief Whether the directory contains all that the platform had acknowledged at `since`.
+    [[nodiscard]] bool isConfirmedSince(Instant since, Instant now) const
+    {
+        return m_plane->dissemination().isConfirmedSince(since, now);
+    }
+    void addUnroutedMetrics(const UnroutedFlowsCounters &counters);
     void sendPacket(const Endpoint &to, std::string_view bytes);
     /// @brief Sends a packet to the address of a caller. The port is the packet port of this
     /// process, since callers receive packets at the same port number.
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -139,15 +139,49 @@
         m_fetchPeer = Endpoint();
     }
     m_isReader = shouldReadPlatform(now);
-    const bool needsPlatform = m_isReader || !m_store.isComplete();
+    readPlatformIfDue(now);
+    if (now >= m_nextVmList) {
+        readVmList(now);
+    }
+}
+
+void Dissemination::readPlatformIfDue(Instant now)
+{
+    const bool needsPlatform = m_isReader || !m_store.isComplete() || isConfirmationReadDue(now);
     if (needsPlatform && !m_platformReadPending && now >= m_nextPlatformRead) {
         readPlatform(now);
     }
-    if (now >= m_nextVmList) {
-        readVmList(now);
+}
+
+bool Dissemination::isConfirmationReadDue(Instant now) const
+{
+    return m_confirmationRequestedAt > m_confirmedSince && now >= m_nextConfirmationRead;
+}
+
+void Dissemination::requestConfirmation(Instant now)
+{
+    m_confirmationRequestedAt = now;
+    readPlatformIfDue(now);
+    if (now >= m_nextConfirmationNotices) {
+        m_nextConfirmationNotices = now + m_settings.confirmationNoticeInterval;
+        if (m_settings.asksReaders) {
+            askReaders(now);
+        }
+        notifyRandomPeers(1, true, now);
     }
 }
 
+bool Dissemination::isConfirmedSince(Instant since, Instant now) const
+{
+    // The answer of another process may have been on the way for a while.
+    if (m_confirmedSince >= since || m_platformConfirmedAt >= since + m_settings.spreadTimeMax) {
+        return true;
+    }
+    const bool isPlatformAway =
+        m_failedReadStartedAt >= since && platformAge(now) > m_settings.spreadTimeMax;
+    return isPlatformAway && now - m_viewChangedAt > m_settings.spreadTimeMax && isConnected(now);
+}
+
 bool Dissemination::shouldReadPlatform(Instant now) const
 {
     if (m_readerRank < m_settings.readersPerDomain && !m_isDomainPassive) {
@@ -174,7 +208,12 @@
 void Dissemination::readPlatform(Instant now)
 {
     // The first read and a read after a pause must return at once, not wait for a change.
-    const bool watch = m_platformAnswered && !m_pauseDetector.isSuspect(now);
+    bool watch = m_platformAnswered && !m_pauseDetector.isSuspect(now);
+    if (isConfirmationReadDue(now)) {
+        watch = false;
+        m_nextConfirmationRead = now + m_settings.confirmationReadInterval;
+        ++m_counters.confirmationReads;
+    }
     m_platformReadPending = true;
     m_readStartedAt = now;
     ++m_counters.platformReads;
@@ -207,12 +246,19 @@
     if (holdsRoot && (m_confirmedOnce || hasNoPeers)) {
         confirm(m_readStartedAt);
     }
+    if (batch.upTo == m_store.revision()) {
+        m_confirmedSince = m_readStartedAt;
+        if (m_hooks.onConfirmed) {
+            m_hooks.onConfirmed();
+        }
+    }
 }
 
 void Dissemination::onPlatformFailed(Instant now)
 {
     m_platformReadPending = false;
     m_platformFailedAt = now;
+    m_failedReadStartedAt = m_readStartedAt;
     ++m_counters.platformFailures;
     scheduleRetry(now);
 }
@@ -231,6 +277,9 @@
     if (!m_store.apply(batch)) {
         return;
     }
+    if (m_store.revision() != before) {
+        m_viewChangedAt = now;
+    }
     updateAgents();
     // A process that starts enters the current era without a change of eras.
     if (before != Revision() && m_store.revision().era() > before.era()) {
--- a/src/steering/agent_queries.cpp
+++ b/src/steering/agent_queries.cpp
@@ -65,6 +65,42 @@
     return hooks;
 }
 
+UnroutedFlowsHooks AgentSteering::unroutedHooks()
+{
+    UnroutedFlowsHooks hooks;
+    hooks.isRouteKnown = [this](const Endpoint &route) {
+        return m_directory.routeByAddress(route) != nullptr;
+    };
+    hooks.requestConfirmation = m_hooks.requestConfirmation;
+    hooks.isConfirmedSince = m_hooks.isConfirmedSince;
+    hooks.release = [this](UnroutedPacket packet, Instant now) {
+        if (packet.segment.opens) {
+            packet.segment.trail.heldTime += now - packet.receivedAt;
+            m_codec.setTrail(packet.bytes, packet.segment.flow, packet.segment.trail);
+        }
+        onCallerPacket(packet.segment, std::move(packet.bytes), packet.from, now);
+    };
+    hooks.reject = [this](const Segment &segment, Instant now) {
+        if (!segment.opens) {
+            // The balancers tell the callers of open flows that their route was dropped.
+            ++m_counters.packetsDropped;
+            return;
+        }
+        ++m_counters.resetsNotAccepted;
+        sendReset(segment.flow, segment.acknowledgement, "no route", now);
+    };
+    return hooks;
+}
+
+void AgentSteering::holdUnrouted(const Segment &segment, PacketBytes bytes, const Endpoint &from,
+                                 Instant now)
+{
+    if (!m_unrouted.contains(segment.flow)) {
+        logDecision("hold", "route is not known here", segment.flow, from, now);
+    }
+    m_unrouted.hold({segment, std::move(bytes), from, now}, now);
+}
+
 void AgentSteering::searchOwner(const Segment &segment, const PacketBytes &bytes,
                                 const Endpoint &origin, bool isDenied, std::string_view reason,
                                 Instant now)
@@ -74,6 +110,11 @@
         ++m_counters.packetsDropped;
         return;
     }
+    if (m_directory.routeByAddress(segment.flow.service) == nullptr) {
+        // The possible owners are not known either.
+        holdUnrouted(segment, bytes, origin, now);
+        return;
+    }
     ++m_counters.packetsPassedOn;
     if (!m_search.isSearching(segment.flow)) {
         logDecision("search", reason, segment.flow, origin, now);
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -175,6 +175,7 @@
     } else if (known == m_flows.end()) {
         const auto location = m_search.locationOf(flow);
         out.stage = m_search.isSearching(flow) ? "owner is searched for"
+            : m_unrouted.contains(flow)        ? "route is not known here"
             : location                         ? "owned by another agent"
                                                : "not known here";
         out.target = location.value_or(Endpoint());
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -32,6 +32,7 @@
               m_settings.sustainedOverload)
     , m_turns(m_settings.routeFloorShare)
     , m_search(searchSettings(m_settings), searchHooks())
+    , m_unrouted(m_settings.unrouted, unroutedHooks())
     , m_startedAt(now)
 { }
 
@@ -77,12 +78,18 @@
         followRedirect(known->second.handedOffTo, segment, std::move(bytes), from, now);
         return;
     }
-    const RouteEntry *route = m_directory.routeByAddress(segment.flow.service);
-    if (route == nullptr || !m_hooks.mayAct(now)) {
-        // The sender may know a newer route; the caller retransmits the packet soon.
+    if (!m_hooks.mayAct(now)) {
+        // The caller retransmits the packet soon.
         ++m_counters.packetsDropped;
         return;
     }
+    const RouteEntry *route = m_directory.routeByAddress(segment.flow.service);
+    if (route == nullptr) {
+        // The sender knows a newer version, or an older one; it must not consider this agent dead.
+        confirmArrival(from, now);
+        holdUnrouted(segment, std::move(bytes), from, now);
+        return;
+    }
     if (m_queue.contains(segment.flow)) {
         confirmArrival(from, now);
         return;
--- a/src/steering/agent_timers.cpp
+++ b/src/steering/agent_timers.cpp
@@ -32,6 +32,7 @@
     sendDueConfirmations(now);
     expireFlows(now);
     m_search.onTick(now);
+    m_unrouted.resolve(now);
     reportLocations(now);
     sendLoadReports(now, false);
 }
--- a/src/steering/balancer_link.cpp
+++ b/src/steering/balancer_link.cpp
@@ -88,7 +88,7 @@
         if (!mayAct) {
             holdOpening(held.segment, std::move(held.bytes), now);
         } else if (m_directory.routeByAddress(key.service) == nullptr) {
-            rejectFlow(held.segment, "no route", now);
+            onUnrouted(held.segment, std::move(held.bytes), held.lastCopyAt, now);
         } else if (!m_link.hasRoom(now) && now - held.heldSince > RefusalAgeMax) {
             ++m_counters.packetsDropped;
         } else if (!m_link.hasRoom(now)) {
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -23,22 +23,19 @@
     , m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
     , m_peerLoads({}, std::move(random))
+    , m_unrouted(settings.unrouted, unroutedHooks())
     , m_link(settings.link)
 { }
 
 void BalancerSteering::onPacket(const Segment &segment, PacketBytes bytes, Instant now)
 {
-    if (!m_directory.hasRoutes()) {
-        if (segment.opens) {
-            holdOpening(segment, std::move(bytes), now);
-        } else {
-            ++m_counters.packetsDropped;
-        }
+    if (!m_directory.hasRoutes() && segment.opens) {
+        holdOpening(segment, std::move(bytes), now);
         return;
     }
     const RouteEntry *route = m_directory.routeByAddress(segment.flow.service);
     if (route == nullptr) {
-        rejectFlow(segment, "no route", now);
+        onUnrouted(segment, std::move(bytes), now, now);
         return;
     }
     if (segment.opens) {
@@ -148,19 +145,63 @@
         }
         const RouteEntry *route = m_directory.routeByAddress(key.service);
         if (route == nullptr) {
-            rejectFlow(held.segment, "no route", now);
+            onUnrouted(held.segment, std::move(held.bytes), held.lastCopyAt, now);
         } else if (m_directory.serviceTable(Directory::serviceFor(*route, key)) != nullptr
                    || m_directory.isSettled(now)) {
-            Trail trail;
-            trail.heldTime = now - held.lastCopyAt;
-            m_codec.setTrail(held.bytes, key, trail);
-            onOpening(held.segment, std::move(held.bytes), now, trail.heldTime);
+            resumeOpening(held.segment, std::move(held.bytes), held.lastCopyAt, now);
         } else {
             m_heldOpenings.emplace(key, std::move(held));
         }
     }
 }
 
+void BalancerSteering::resumeOpening(const Segment &segment, PacketBytes bytes, Instant lastCopyAt,
+                                     Instant now)
+{
+    Trail trail;
+    trail.heldTime = now - lastCopyAt;
+    m_codec.setTrail(bytes, segment.flow, trail);
+    onOpening(segment, std::move(bytes), now, trail.heldTime);
+}
+
+UnroutedFlowsHooks BalancerSteering::unroutedHooks()
+{
+    UnroutedFlowsHooks hooks;
+    hooks.isRouteKnown = [this](const Endpoint &route) {
+        return m_directory.routeByAddress(route) != nullptr;
+    };
+    hooks.requestConfirmation = m_hooks.requestConfirmation;
+    hooks.isConfirmedSince = m_hooks.isConfirmedSince;
+    hooks.release = [this](UnroutedPacket packet, Instant now) {
+        if (packet.segment.opens) {
+            resumeOpening(packet.segment, std::move(packet.bytes), packet.receivedAt, now);
+        } else {
+            onPacket(packet.segment, std::move(packet.bytes), now);
+        }
+    };
+    hooks.reject = [this](const Segment &segment, Instant now) {
+        rejectFlow(segment, "no route", now);
+    };
+    return hooks;
+}
+
+void BalancerSteering::onUnrouted(const Segment &segment, PacketBytes bytes, Instant receivedAt,
+                                  Instant now)
+{
+    // The route of a flow that is known here has been dropped since. A new flow may be rejected
+    // although a version unknown here may have added its route again: nothing is lost with it.
+    const bool isDropped = m_flows.contains(segment.flow)
+        || (segment.opens && m_directory.wasRouteDropped(segment.flow.service));
+    if (isDropped || segment.resets) {
+        rejectFlow(segment, "no route", now);
+        return;
+    }
+    if (!m_unrouted.contains(segment.flow)) {
+        logDecision("hold", "route is not known here", segment.flow, {}, now);
+    }
+    m_unrouted.hold({segment, std::move(bytes), {}, receivedAt}, now);
+}
+
 void BalancerSteering::offerToAgent(const FlowKey &key, const RouteEntry &route, PlacedFlow &flow,
                                     std::string_view reason, Instant now)
 {
@@ -367,6 +408,7 @@
     m_lastTick = now;
     checkOfferTimeouts(now);
     placeHeldOpenings(now);
+    m_unrouted.resolve(now);
     placeOpeningsWaitingForLink(now);
     expireFlows(now);
 }
@@ -459,6 +501,9 @@
     } else if (waiting != m_linkOpenings.end()) {
         out.stage = "waits for the link of the balancer";
         out.idle = now - waiting->second.lastCopyAt;
+    } else if (m_unrouted.contains(flow)) {
+        out.known = true;
+        out.stage = "route is not known here";
     } else {
         out.stage =
             m_directory.routeByAddress(flow.service) == nullptr ? "no route" : "not known here";
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -65,6 +65,7 @@
         if (after == routes.end()) {
             m_formerServices.erase(address);
             m_ownersHistory.erase(address);
+            m_droppedRoutes[address] = now + m_settings.flowLifetimeMax;
             continue;
         }
         for (const WeightedService &service : before.services) {
@@ -75,6 +76,8 @@
         }
     }
     m_routes = std::move(routes);
+    std::erase_if(m_droppedRoutes,
+                  [&](const auto &dropped) { return m_routes.contains(dropped.first); });
     m_prioritiesDiffer = std::any_of(m_routes.begin(), m_routes.end(), [&](const auto &route) {
         return route.second.priority != m_routes.begin()->second.priority;
     });
@@ -255,6 +258,7 @@
     if (forgotten > 0) {
         discardOwners(now);
     }
+    std::erase_if(m_droppedRoutes, [&](const auto &dropped) { return now >= dropped.second; });
     std::erase_if(m_leftIncarnations, [&](const auto &left) { return now >= left.second; });
     const bool takenIn = expireMissingDomains(now);
     return takenIn || !expired.empty();
--- a/tests/steering_fixture.cpp
+++ b/tests/steering_fixture.cpp
@@ -240,11 +240,33 @@
     hooks.mayAct = [this](Instant) {
         return balancersMayAct;
     };
+    hooks.requestConfirmation = [this, index](Instant) {
+        confirmView(m_balancers, index);
+    };
+    hooks.isConfirmedSince = [this, index](Instant since, Instant) {
+        return m_balancers[index].confirmedSince >= since;
+    };
     process.steering =
         std::make_unique<BalancerSteering>(balancerSettings, *process.directory, m_codec,
                                            std::move(hooks), seededRandom(m_seed + index));
 }
 
+template <typename Process>
+void SteeringFleet::confirmView(std::deque<Process> &processes, std::size_t index)
+{
+    schedule(2 * NetworkDelay, [this, &processes, index, since = m_now] {
+        if (!platformConfirms) {
+            return;
+        }
+        Process &process = processes[index];
+        if (platformNews) {
+            process.directory->applySection(*platformNews, m_now);
+        }
+        process.confirmedSince = since;
+        process.steering->onViewChange(m_now);
+    });
+}
+
 void SteeringFleet::restartAgent(std::size_t index, bool newDirectory)
 {
     startAgent(index, newDirectory ? makeDirectory() : std::move(m_agents[index].directory));
@@ -339,6 +361,12 @@
     hooks.mayAct = [this](Instant) {
         return agentsMayAct;
     };
+    hooks.requestConfirmation = [this, index](Instant) {
+        confirmView(m_agents, index);
+    };
+    hooks.isConfirmedSince = [this, index](Instant since, Instant) {
+        return m_agents[index].confirmedSince >= since;
+    };
     process.steering = std::make_unique<AgentSteering>(
         std::move(settings), *process.directory, m_codec, std::move(hooks),
         seededRandom(m_seed + AgentSeedOffset + index), m_now);
--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -166,6 +166,10 @@
     bool balancersMayAct = true;
     /// False simulates an outdated configuration view at all agents.
     bool agentsMayAct = true;
+    /// Whether the platform answers a process that asks it whether its view is the newest one.
+    bool platformConfirms = true;
+    /// Answer of the platform to that question: the newest section of each name is then in force.
+    std::optional<SectionChange> platformNews;
     /// If set, selects the upstream of a new flow in place of balancers and agents, for baselines.
     std::function<std::size_t(std::size_t flow)> chooseUpstream;
     /// If set, called after a caller has handled a packet of one of its flows.
@@ -179,11 +183,13 @@
 private:
     struct AgentProcess
     {
+        Instant confirmedSince;
         std::unique_ptr<Directory> directory;
         std::unique_ptr<AgentSteering> steering;
     };
     struct BalancerProcess
     {
+        Instant confirmedSince;
         std::unique_ptr<Directory> directory;
         std::unique_ptr<BalancerSteering> steering;
     };
@@ -198,6 +204,9 @@
         }
     };
 
+    /// @brief Lets the platform answer a process that has asked whether its view is the newest one.
+    template <typename Process>
+    void confirmView(std::deque<Process> &processes, std::size_t index);
     void runAtAgent(std::function<void()> run);
     void tickAgents();
     void tick();
--- a/tests/unit-steering-link-replay.cpp
+++ b/tests/unit-steering-link-replay.cpp
@@ -70,6 +70,11 @@
         hooks.mayAct = [](Instant) {
             return true;
         };
+        hooks.requestConfirmation = [](Instant) {
+        };
+        hooks.isConfirmedSince = [](Instant, Instant) {
+            return true;
+        };
         BalancerSteeringSettings settings;
         settings.link.mbps = modelledMbps;
         m_balancer = std::make_unique<BalancerSteering>(settings, m_directory, m_codec,
