End no search for an owner before the platform has confirmed the list

A route moves to another service; a flow opens there under the new version and then moves to a balancer, whose home for it, like all agents that the home asks, does not know that version yet. All deny the flow, their lists agree and have not changed for 3 s, and the search resets the open flow at once: 'no possible owner holds the flow'. The same holds for an upstream that has just registered.

Cause: OwnerSearch took the agents that the asked processes list for all that can own the flow.

Ruled out: a longer wait alone (the lists of a slow process may lag for longer, and callers of dead flows would wait for each other case); asking the agents of all services (done after a restart; at the target 9,900 agents).

Change: a search ends without an owner only if the view contains all that the platform had acknowledged when the search began, as for unknown routes (Dissemination::isConfirmedSince()). The read that proves it brings the version that names the owner otherwise.

Tests: SearchWait.KeptUntilAllAcknowledgedVersionsAreKnown and SearchWait.OwnerOfAMovedRouteIsFoundWithThePlatformsAnswer, both red before the change to owner_search (one reset flow each).

The away clause of isConfirmedSince() holds for ready processes only: one without routes knows nothing.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -229,7 +229,11 @@
     /// @brief Must be called at least every 20 ms.
     void onTick(Instant now);
     /// @brief Call after a change or a confirmation of the configuration view.
-    void onViewChange(Instant now) { m_unrouted.resolve(now); }
+    void onViewChange(Instant now)
+    {
+        m_search.onViewChange(now);
+        m_unrouted.resolve(now);
+    }
     /// @brief Stops accepting new flows.
     void startDraining(Instant now);
 
--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -93,6 +93,10 @@
     std::function<void(const FlowKey &, std::uint32_t callerAcknowledgement, Instant)> onAbsent;
     /// Whether the configuration view is recent enough to act on.
     std::function<bool(Instant)> mayAct;
+    /// Asks the platform and other processes for a newer view. Called often, must limit itself.
+    std::function<void(Instant now)> requestConfirmation;
+    /// Whether the view contains all versions that the platform had acknowledged at `since`.
+    std::function<bool(Instant since, Instant now)> isConfirmedSince;
     std::function<void(std::string_view decision, std::string_view reason, const FlowKey &,
                        const Endpoint &target, Instant now)>
         log;
@@ -100,7 +104,9 @@
 
 /// State machine without I/O. Asks the possible owners of a flow, a few at a time, with a packet of
 /// the flow; its owner delivers the packet and says so. A flow has no owner if all agents that any
-/// of the asked agents lists have denied it. Keeps the locations that owners of long flows report
+/// of the asked agents lists have denied it, and the view contains all that the platform had
+/// acknowledged when the search began: the owner may have got the flow under a version that none of
+/// the asked agents knew. Keeps the locations that owners of long flows report
 /// and that earlier searches found.
 class OwnerSearch
 {
@@ -120,6 +126,8 @@
     void onLocations(const FlowLocations &locations, Instant now);
     /// @brief Must be called at least every 20 ms.
     void onTick(Instant now);
+    /// @brief Call after a change or a confirmation of the configuration view.
+    void onViewChange(Instant now);
 
     /// @brief Owner of a flow as far as known.
     [[nodiscard]] std::optional<Endpoint> locationOf(const FlowKey &flow) const;
@@ -170,6 +178,8 @@
         Instant startedAt;
         Instant lastPacketAt;
         Instant dueAt; ///< nothing changes before, unless an answer arrives
+        /// All have denied the flow, but a newer version may name further possible owners.
+        bool awaitsConfirmation = false;
     };
     struct Location
     {
@@ -204,6 +214,8 @@
     /// @return false if it was the own upstream, which does not hold the flow
     bool sendQuery(const FlowKey &flow, const Search &search, Query &query, Instant now);
     void setDueTime(Search &search, Instant now) const;
+    /// @brief Advances the searches that are due, and ends those without packets.
+    void advanceDueSearches(Instant now);
     [[nodiscard]] bool isWaiting(const Query &query, Instant now) const;
     /// @brief Whether an agent whose upstream has departed has left enough queries unanswered.
     [[nodiscard]] bool isGone(const PossibleOwners &owners, const Query &query, Instant now) const;
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -179,7 +179,9 @@
     }
     const bool isPlatformAway =
         m_failedReadStartedAt >= since && platformAge(now) > m_settings.spreadTimeMax;
-    return isPlatformAway && now - m_viewChangedAt > m_settings.spreadTimeMax && isConnected(now);
+    const bool hasHeardOthers =
+        now - m_viewChangedAt > m_settings.spreadTimeMax && isConnected(now);
+    return isReady(now) && isPlatformAway && hasHeardOthers;
 }
 
 bool Dissemination::shouldReadPlatform(Instant now) const
--- a/src/steering/agent_queries.cpp
+++ b/src/steering/agent_queries.cpp
@@ -58,6 +58,8 @@
         sendReset(flow, acknowledgement, "no possible owner holds the flow", now);
     };
     hooks.mayAct = m_hooks.mayAct;
+    hooks.requestConfirmation = m_hooks.requestConfirmation;
+    hooks.isConfirmedSince = m_hooks.isConfirmedSince;
     hooks.log = [this](std::string_view decision, std::string_view reason, const FlowKey &flow,
                        const Endpoint &target, Instant now) {
         logDecision(decision, reason, flow, target, now);
--- a/src/steering/owner_search.cpp
+++ b/src/steering/owner_search.cpp
@@ -86,13 +86,17 @@
     }
     askOthers(flow, search, *owners, now);
     const bool hasWaited = now - search.startedAt >= m_settings.absenceConfirmationTime;
-    if (isDeniedByAll(flow, search, *owners, now)
-        && (hasWaited || isWaitNeedless(flow, search, now)) && m_hooks.mayAct(now)) {
+    search.awaitsConfirmation = isDeniedByAll(flow, search, *owners, now)
+        && (hasWaited || isWaitNeedless(flow, search, now)) && m_hooks.mayAct(now);
+    if (search.awaitsConfirmation && m_hooks.isConfirmedSince(search.startedAt, now)) {
         ++m_counters.ownersAbsent;
         m_counters.searchesWithoutWait += hasWaited ? 0 : 1;
         m_hooks.onAbsent(flow, search.callerAcknowledgement, now);
         return true;
     }
+    if (search.awaitsConfirmation) {
+        m_hooks.requestConfirmation(now);
+    }
     setDueTime(search, now);
     return false;
 }
@@ -354,7 +358,15 @@
     return found == m_locations.end() ? std::nullopt : std::optional(found->second.owner);
 }
 
-void OwnerSearch::onTick(Instant now)
+void OwnerSearch::onViewChange(Instant now)
+{
+    for (auto &[flow, search] : m_searches) {
+        search.dueAt = search.awaitsConfirmation ? now : search.dueAt;
+    }
+    advanceDueSearches(now);
+}
+
+void OwnerSearch::advanceDueSearches(Instant now)
 {
     for (auto at = m_searches.begin(); at != m_searches.end();) {
         const bool expired = now - at->second.lastPacketAt > m_settings.searchTtl;
@@ -365,6 +377,11 @@
             ++at;
         }
     }
+}
+
+void OwnerSearch::onTick(Instant now)
+{
+    advanceDueSearches(now);
     std::erase_if(m_knownLists,
                   [&](const auto &list) { return now - list.second >= m_settings.listTtl; });
     if (m_searches.empty()) {
--- a/src/steering/unrouted_flows.cpp
+++ b/src/steering/unrouted_flows.cpp
@@ -48,8 +48,8 @@
     if (flow.packets.empty()) {
         return true;
     }
-    const bool isLateOpening = flow.packets.front().segment.opens
-        && now - flow.firstPacketAt >= m_settings.openingWaitMax;
+    const bool isLateOpening =
+        flow.packets.front().segment.opens && now - flow.firstPacketAt >= m_settings.openingWaitMax;
     if (!isLateOpening && !m_hooks.isConfirmedSince(flow.firstPacketAt, now)) {
         return false;
     }
--- a/tests/unit-steering-search-wait.cpp
+++ b/tests/unit-steering-search-wait.cpp
@@ -160,3 +160,74 @@
     fleet.runFor(Millis(300));
     EXPECT_EQ(fleet.resetCount(), 0U);
 }
+
+namespace {
+
+/// A flow at an upstream that the home of the flow does not know yet: only the agent beside it and
+/// the first balancer know the change. The flow has moved to the second balancer.
+struct FlowOfUnknownOwner : SmallFleet
+{
+    explicit FlowOfUnknownOwner(SectionChange newest)
+        : SmallFleet(0, 2)
+        , change(std::move(newest))
+    {
+        addBalancer();
+        owner = addUpstream("documents", "a");
+        // Longer than the time after a start in which the agents of all services are asked.
+        runFor(agentSettings.flowLifetimeMax + Millis(1000));
+    }
+
+    void moveFlow()
+    {
+        publishAtBalancer(0, change);
+        publishAtAgent(owner, change);
+        flow = openFlow(0);
+        runFor(Millis(100));
+        ASSERT_TRUE(this->SteeringFleet::flow(flow).answered);
+        ASSERT_EQ(upstreamOf(flow), owner);
+        this->SteeringFleet::flow(flow).balancer = 1;
+        sendRequest(flow);
+    }
+
+    [[nodiscard]] bool isAnswered() { return SteeringFleet::flow(flow).answered; }
+
+    SectionChange change;
+    std::size_t owner = 0;
+    std::size_t flow = 0;
+};
+
+SectionChange movedRoute()
+{
+    RouteDocument document =
+        decodeRoutes(SteeringFleet::routeSection({{"documents", 1}}).text).value();
+    document.version = 2;
+    return {RootName, Revision(2), encode(document)};
+}
+
+} // namespace
+
+// Guards against a reset of an open flow whose route has just moved to a service that no asked
+// agent knows as the route's.
+TEST(SearchWait, KeptUntilAllAcknowledgedVersionsAreKnown)
+{
+    FlowOfUnknownOwner fleet(movedRoute());
+    fleet.platformConfirms = false;
+    fleet.moveFlow();
+    fleet.runFor(Millis(400));
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    fleet.publish(fleet.change);
+    fleet.runFor(Millis(300));
+    EXPECT_TRUE(fleet.isAnswered());
+    EXPECT_EQ(fleet.resetCount(), 0U);
+}
+
+// Guards against a wait for the spread of a version that the platform can deliver at once.
+TEST(SearchWait, OwnerOfAMovedRouteIsFoundWithThePlatformsAnswer)
+{
+    FlowOfUnknownOwner fleet(movedRoute());
+    fleet.platformNews = fleet.change;
+    fleet.moveFlow();
+    fleet.runFor(Millis(60));
+    EXPECT_TRUE(fleet.isAnswered());
+    EXPECT_EQ(fleet.resetCount(), 0U);
+}
