Keep a held flow that has sent more than opening packets

A balancer that does not know a route held an opening packet for 400 ms and then rejected the flow, although another balancer had opened it meanwhile and its further packets had arrived here: found when the diff was read. The limit now holds only while nothing but opening packets has arrived. Rejected new flows are forgotten at once, so that many of them leave room for open ones.

Test: UnroutedFlows.FlowThatOpensElsewhereWhileItsOpeningPacketIsHeldIsNotReset, red with the former condition.

--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -106,8 +106,8 @@
 /// the flow; its owner delivers the packet and says so. A flow has no owner if all agents that any
 /// of the asked agents lists have denied it, and the view contains all that the platform had
 /// acknowledged when the search began: the owner may have got the flow under a version that none of
-/// the asked agents knew. Keeps the locations that owners of long flows report
-/// and that earlier searches found.
+/// the asked agents knew. Keeps the locations that owners of long flows report and that earlier
+/// searches found.
 class OwnerSearch
 {
 public:
--- a/include/bergamotglade/detail/steering/unrouted_flows.hpp
+++ b/include/bergamotglade/detail/steering/unrouted_flows.hpp
@@ -16,8 +16,8 @@
     Millis openingWaitMax {400};
     /// Other packets are dropped after this: their senders have retransmitted them.
     Millis packetAgeMax {1300};
-    /// A flow without packets is forgotten after this; senders retransmit at intervals of up to
-    /// 1.6 s.
+    /// An open flow without packets is forgotten after this; senders retransmit at intervals of up
+    /// to 1.6 s.
     Millis flowTtl {2000};
     std::size_t flowsMax = 1024;
     std::size_t packetsMax = 1024; ///< of all flows together
@@ -77,12 +77,15 @@
     {
         Instant firstPacketAt;
         Instant lastPacketAt;
+        bool isNew = true; ///< only opening packets of it have arrived
         std::vector<UnroutedPacket> packets; ///< in the order of their arrival
     };
 
     /// @return whether the flow was decided, so that it has no packets left
     bool rejectIfDecided(UnroutedFlow &flow, Instant now);
     void dropOldPackets(UnroutedFlow &flow, Instant now);
+    /// @brief Whether nothing of a flow is worth remembering.
+    [[nodiscard]] bool isObsolete(const UnroutedFlow &flow, Instant now) const;
 
     UnroutedFlowsSettings m_settings;
     UnroutedFlowsHooks m_hooks;
--- a/src/steering/unrouted_flows.cpp
+++ b/src/steering/unrouted_flows.cpp
@@ -31,7 +31,8 @@
         flow.firstPacketAt = packet.receivedAt;
     }
     flow.lastPacketAt = now;
-    if (packet.segment.opens && !flow.packets.empty() && flow.packets.back().segment.opens) {
+    flow.isNew = flow.isNew && packet.segment.opens;
+    if (flow.isNew && !flow.packets.empty()) {
         // The latest copy of an opening packet gives the best estimate of the flow's age.
         flow.packets.back() = std::move(packet);
     } else {
@@ -48,8 +49,7 @@
     if (flow.packets.empty()) {
         return true;
     }
-    const bool isLateOpening =
-        flow.packets.front().segment.opens && now - flow.firstPacketAt >= m_settings.openingWaitMax;
+    const bool isLateOpening = flow.isNew && now - flow.firstPacketAt >= m_settings.openingWaitMax;
     if (!isLateOpening && !m_hooks.isConfirmedSince(flow.firstPacketAt, now)) {
         return false;
     }
@@ -70,6 +70,11 @@
     m_counters.packetsDropped += dropped;
 }
 
+bool UnroutedFlows::isObsolete(const UnroutedFlow &flow, Instant now) const
+{
+    return flow.packets.empty() && (flow.isNew || now - flow.lastPacketAt >= m_settings.flowTtl);
+}
+
 void UnroutedFlows::resolve(Instant now)
 {
     std::vector<UnroutedPacket> released;
@@ -85,7 +90,7 @@
         }
         dropOldPackets(flow, now);
         areAllDecided = rejectIfDecided(flow, now) && areAllDecided;
-        if (flow.packets.empty() && now - flow.lastPacketAt >= m_settings.flowTtl) {
+        if (isObsolete(flow, now)) {
             at = m_flows.erase(at);
         } else {
             ++at;
--- a/tests/unit-steering-unrouted.cpp
+++ b/tests/unit-steering-unrouted.cpp
@@ -151,6 +151,26 @@
     EXPECT_TRUE(fleet.flow(flow).wasReset);
 }
 
+// Guards against the reset of a flow of which this balancer has held a copy of the opening packet
+// while another one has opened it.
+TEST(UnroutedFlows, FlowThatOpensElsewhereWhileItsOpeningPacketIsHeldIsNotReset)
+{
+    FleetWithAddedRoute fleet;
+    fleet.platformConfirms = false;
+    fleet.addRouteAtAgents();
+    fleet.addRouteAtBalancer(0);
+    const std::size_t flow = fleet.openOnAddedRoute();
+    fleet.flow(flow).balancer = 1;
+    fleet.resendOpening(flow);
+    fleet.runFor(Millis(100));
+    fleet.sendRequest(flow);
+    fleet.runFor(Millis(500));
+    EXPECT_FALSE(fleet.flow(flow).wasReset);
+    fleet.addRouteAtBalancer(1);
+    fleet.runFor(Millis(100));
+    EXPECT_TRUE(fleet.flow(flow).answered);
+}
+
 // Guards against a wait of new flows whose route is known to be gone.
 TEST(UnroutedFlows, NewFlowOfADroppedRouteIsRejectedAtOnceWhileThePlatformIsAway)
 {
