Count a confirmation from the start of the read that was answered

Found when the diff was read: the hooks that run on an answer of the platform may ask for the next read, whose start then replaced that of the answered one, so the view counted as confirmed up to the present. The start is taken before the hooks run. A request for a confirmation now lapses if it is not repeated within 250 ms; before, one request let a process read a platform that is away until it answered.

Tests: ViewConfirmation.AnswerCountsFromTheStartOfItsOwnRead, red before; ViewConfirmation.RequestThatIsNotRepeatedLapses.

--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -75,9 +75,10 @@
     /// Longest time that news of the platform takes to reach all processes by way of others, while
     /// the platform may be slow to answer.
     Millis spreadTimeMax {1500};
-    /// Shortest interval between two reads of the platform, and between two rounds of notices, that
-    /// requestConfirmation() starts.
+    /// Shortest interval between two reads of the platform that requestConfirmation() starts. A
+    /// request that is not repeated within this time lapses.
     Millis confirmationReadInterval {250};
+    /// Shortest interval between two rounds of notices that requestConfirmation() starts.
     Millis confirmationNoticeInterval {100};
 };
 
@@ -144,7 +145,8 @@
     /// @brief Tells peers that the process is about to stop, or that it no longer is.
     void setLeaving(bool leaving, Instant now);
     /// @brief Asks the platform and peers whether the view is the newest one. Calls in quick
-    /// succession start few reads, see DisseminationSettings::confirmationReadInterval.
+    /// succession start few reads; a request lapses if it is not repeated, see
+    /// DisseminationSettings::confirmationReadInterval.
     void requestConfirmation(Instant now);
     /// @brief Checks for a pause since the last call.
     /// @return whether the process is ready and, after a pause, its view has been confirmed again
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -155,7 +155,9 @@
 
 bool Dissemination::isConfirmationReadDue(Instant now) const
 {
-    return m_confirmationRequestedAt > m_confirmedSince && now >= m_nextConfirmationRead;
+    const bool isRequested = m_confirmationRequestedAt > m_confirmedSince
+        && now - m_confirmationRequestedAt <= m_settings.confirmationReadInterval;
+    return isRequested && now >= m_nextConfirmationRead;
 }
 
 void Dissemination::requestConfirmation(Instant now)
@@ -227,6 +229,8 @@
     mayAct(now);
     m_platformReadPending = false;
     m_platformRetry = m_settings.retryMin;
+    // The hooks called below may start the next read.
+    const Instant readStartedAt = m_readStartedAt;
     const bool hasChanges = batch.upTo > m_store.revision() && m_store.hasRoot();
     m_nextPlatformRead = now + (hasChanges ? m_settings.changeCoalescingTime : Millis(0));
     if (batch.upTo < m_store.revision() && m_settings.mechanisms.neverRevert) {
@@ -246,10 +250,10 @@
     // An answer received before any root is held may be stale and confirms nothing. A later one
     // does if the view was confirmed before or there is no peer to ask.
     if (holdsRoot && (m_confirmedOnce || hasNoPeers)) {
-        confirm(m_readStartedAt);
+        confirm(readStartedAt);
     }
     if (batch.upTo == m_store.revision()) {
-        m_confirmedSince = m_readStartedAt;
+        m_confirmedSince = readStartedAt;
         if (m_hooks.onConfirmed) {
             m_hooks.onConfirmed();
         }
--- a/tests/unit-view-confirmation.cpp
+++ b/tests/unit-view-confirmation.cpp
@@ -66,6 +66,11 @@
         hooks.agents = [] {
             return std::vector<Endpoint> {Agent};
         };
+        hooks.onChange = [this] {
+            if (asksAtChanges) {
+                dissemination.requestConfirmation(now);
+            }
+        };
         hooks.onConfirmed = [this] {
             ++confirmations;
         };
@@ -99,6 +104,7 @@
         }
     }
 
+    bool asksAtChanges = false; ///< requests a confirmation at each change
     bool platformFails = false; ///< answers all reads with an error
     bool agentAnswers = true;
     Millis agentPlatformAge {100}; ///< as the agent reports it
@@ -142,6 +148,32 @@
     EXPECT_FALSE(process.dissemination.isConfirmedSince(since, process.now));
 }
 
+// Guards against taking an answer for that of the read that its arrival has started.
+TEST(ViewConfirmation, AnswerCountsFromTheStartOfItsOwnRead)
+{
+    Process process;
+    const Instant since = process.now;
+    process.dissemination.requestConfirmation(since);
+    process.now += Millis(300);
+    process.asksAtChanges = true;
+    const std::size_t before = process.reads;
+    process.answer(5, 6);
+    EXPECT_EQ(process.reads, before + 1);
+    EXPECT_TRUE(process.dissemination.isConfirmedSince(since, process.now));
+    EXPECT_FALSE(process.dissemination.isConfirmedSince(process.now, process.now));
+}
+
+// Guards against reads of a platform that is away for a request made long ago.
+TEST(ViewConfirmation, RequestThatIsNotRepeatedLapses)
+{
+    Process process;
+    process.platformFails = true;
+    const std::size_t before = process.reads;
+    process.dissemination.requestConfirmation(process.now);
+    process.runFor(Millis(6000));
+    EXPECT_EQ(process.reads, before + 1);
+}
+
 // Guards against a read of the platform for each packet of unknown flows.
 TEST(ViewConfirmation, ManyRequestsStartFewReads)
 {
