--- a/tests/steering_fixture.hpp
+++ b/tests/steering_fixture.hpp
@@ -168,7 +168,7 @@
     bool agentsMayAct = true;
     /// Whether the platform answers a process that asks it whether its view is the newest one.
     bool platformConfirms = true;
-    /// Answer of the platform to that question: the newest section of each name is then in force.
+    /// Section that comes with the platform's answer to that question.
     std::optional<SectionChange> platformNews;
     /// If set, selects the upstream of a new flow in place of balancers and agents, for baselines.
     std::function<std::size_t(std::size_t flow)> chooseUpstream;
--- a/tests/unit-steering-unrouted.cpp
+++ b/tests/unit-steering-unrouted.cpp
@@ -20,7 +20,7 @@
     return {RootName, Revision(version), encode(document)};
 }
 
-/// A fleet with two balancers in which all processes but some know version 2, which adds a route.
+/// A fleet with two balancers. Version 2, which adds a route, is published at some processes only.
 struct FleetWithAddedRoute : SmallFleet
 {
     FleetWithAddedRoute() { addBalancer(); }
