Ask a reader to confirm the view instead of reading the platform

Cause: since each process in doubt about its view read the platform itself. At the target 9,900 agents that doubt together after a large failure would exceed the platform's rate, and the readers' watches with it.

Change: ViewConfirmation. The view is confirmed for the time of the question once it has that revision; a newer one is fetched from the reader. That no process reaches the platform is now judged by the reports of any revision.

Ruled out: confirmations by the readers' watches alone (no call, but up to 600 ms for each reset of a dead flow); longer intervals between own reads (at the target 20 s).

--- a/include/bergamotglade/detail/daemon/control_plane.hpp
+++ b/include/bergamotglade/detail/daemon/control_plane.hpp
@@ -40,7 +40,7 @@
     std::function<void(nlohmann::json &)> addStatus;
     /// Called after a change of the configuration in force.
     std::function<void()> onChange;
-    /// Called after an own read of the platform has confirmed the configuration in force.
+    /// Called after the platform has confirmed the configuration in force.
     std::function<void()> onConfirmed;
     /// Reads the configuration through a platform adapter; if empty, the control plane reads it
     /// itself, from `/v1/changes` of the platform.
@@ -98,6 +98,7 @@
     [[nodiscard]] std::string status();
     void fetchFromPeer(const Endpoint &peer, Revision since);
     void readPlatform(Revision since, bool watch);
+    void confirmView(Revision since);
     void onPlatformReply(Result<ChangeBatch> batch);
     void readVmList();
     [[nodiscard]] bool isBlocked(const Endpoint &peer) const
--- a/include/bergamotglade/detail/dissemination/dissemination.hpp
+++ b/include/bergamotglade/detail/dissemination/dissemination.hpp
@@ -5,6 +5,7 @@
 
 #include <bergamotglade/detail/config/store.hpp>
 #include <bergamotglade/detail/core/random.hpp>
+#include <bergamotglade/detail/dissemination/view_confirmation.hpp>
 #include <bergamotglade/detail/membership/pause_detector.hpp>
 #include <bergamotglade/detail/membership/rumors.hpp>
 
@@ -75,11 +76,6 @@
     /// Longest time that news of the platform takes to reach all processes by way of others, while
     /// the platform may be slow to answer.
     Millis spreadTimeMax {1500};
-    /// Shortest interval between two reads of the platform that requestConfirmation() starts. A
-    /// request that is not repeated within this time lapses.
-    Millis confirmationReadInterval {250};
-    /// Shortest interval between two rounds of notices that requestConfirmation() starts.
-    Millis confirmationNoticeInterval {100};
 };
 
 struct DisseminationCounters
@@ -90,7 +86,6 @@
     std::uint64_t platformReads = 0;
     std::uint64_t platformFailures = 0;
     std::uint64_t platformStale = 0; ///< answers older than the stored revision, ignored
-    std::uint64_t confirmationReads = 0; ///< platform reads started by requestConfirmation()
     std::uint64_t pauses = 0;
     std::uint64_t eraChanges = 0; ///< times that the platform was restored from a copy
 };
@@ -107,8 +102,13 @@
     std::function<void()> readVmList;
     /// Called after a change has taken effect.
     std::function<void()> onChange;
-    /// Called after an own read of the platform has confirmed the view.
+    /// Called after the platform has confirmed the view, see ViewConfirmation.
     std::function<void()> onConfirmed;
+    std::function<void(const Endpoint &reader, const ConfirmationQuery &)> sendConfirmationQuery;
+    std::function<void(const Endpoint &process, const ConfirmationAnswer &)> sendConfirmationAnswer;
+    /// Reads the platform without waiting for a change, beside a read by readPlatform(). Answered
+    /// by onConfirmationBatch() or onConfirmationFailed().
+    std::function<void(Revision since)> confirmView;
     /// Applies sections of another document format; empty for the YAML format.
     SectionHandler applySection;
     /// Order of the contents of a section; empty if contents have none.
@@ -138,15 +138,17 @@
     void onPeerFailed(Instant now);
     void onPlatformBatch(const ChangeBatch &batch, Instant now);
     void onPlatformFailed(Instant now);
+    void onConfirmationBatch(const ChangeBatch &batch, Instant now);
+    void onConfirmationFailed(Instant now) { m_confirmation.onReadFailed(now); }
+    void onConfirmationQuery(const ConfirmationQuery &query, Instant now);
+    void onConfirmationAnswer(const ConfirmationAnswer &answer, Instant now);
     void onVmList(const std::vector<Vm> &vms, Instant now);
     /// @brief Handles the revision that a packet of a peer carries: notifies a peer with an older
     /// revision, fetches from one with a newer revision.
     void onRevisionSeen(const Endpoint &peer, Revision peerRevision, Instant now);
     /// @brief Tells peers that the process is about to stop, or that it no longer is.
     void setLeaving(bool leaving, Instant now);
-    /// @brief Asks the platform and peers whether the view is the newest one. Calls in quick
-    /// succession start few reads; a request lapses if it is not repeated, see
-    /// DisseminationSettings::confirmationReadInterval.
+    /// @brief Asks for a confirmation of the view, see ViewConfirmation::request().
     void requestConfirmation(Instant now);
     /// @brief Checks for a pause since the last call.
     /// @return whether the process is ready and, after a pause, its view has been confirmed again
@@ -182,6 +184,10 @@
     /// @brief All processes that this one can contact.
     [[nodiscard]] std::vector<Endpoint> peers() const;
     [[nodiscard]] const DisseminationSettings &settings() const noexcept { return m_settings; }
+    [[nodiscard]] const ViewConfirmationCounters &confirmationCounters() const noexcept
+    {
+        return m_confirmation.counters();
+    }
 
     /// @}
 
@@ -195,12 +201,13 @@
     [[nodiscard]] bool isAgent(const Endpoint &peer) const;
     void fetch(const Endpoint &peer, Instant now);
     void readPlatform(Instant now);
-    void readPlatformIfDue(Instant now);
-    /// @brief Whether a requested confirmation is missing and may be asked of the platform now.
-    [[nodiscard]] bool isConfirmationReadDue(Instant now) const;
     void readVmList(Instant now);
     void scheduleRetry(Instant now);
+    void applyPlatformBatch(const ChangeBatch &batch, Instant now);
     void applyBatch(const ChangeBatch &batch, Instant now);
+    [[nodiscard]] ViewConfirmationHooks confirmationHooks();
+    /// @brief Readers of the platform that answer for this process, the preferred one first.
+    [[nodiscard]] std::vector<Endpoint> readers() const;
     void confirm(Instant since);
     void updateReaders(const std::vector<Vm> &vms);
     void updateReadingDomains(const std::vector<Vm> &vms);
@@ -218,6 +225,7 @@
     Random m_random;
     ConfigStore m_store;
     PauseDetector m_pauseDetector;
+    ViewConfirmation m_confirmation;
     RumorTable m_rumors;
     DisseminationCounters m_counters;
 
@@ -244,12 +252,10 @@
     Instant m_fetchStartedAt;
     Instant m_startedAt;
     Instant m_platformConfirmedAt; ///< platformAge() counts from here
-    Instant m_confirmedSince; ///< the latest own read that confirmed the view started then
-    Instant m_failedReadStartedAt;
+    /// When any process last reached the platform, as far as known, whatever revision it holds.
+    Instant m_platformReachedAt;
+    Instant m_failedReadStartedAt; ///< when the latest failed readPlatform() had started
     Instant m_viewChangedAt;
-    Instant m_confirmationRequestedAt;
-    Instant m_nextConfirmationRead;
-    Instant m_nextConfirmationNotices;
     Instant m_nextGossip;
     Instant m_nextPlatformRead;
     Instant m_nextVmList;
--- a/include/bergamotglade/detail/net/datagram_codec.hpp
+++ b/include/bergamotglade/detail/net/datagram_codec.hpp
@@ -20,9 +20,9 @@
 };
 
 /// Any message that a process receives over UDP.
-using Datagram =
-    std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated, BalancerHeartbeat,
-                 FlowQuery, FlowAnswer, FlowLocations, OwnersQuery, OwnersList>;
+using Datagram = std::variant<CallerFrame, DataPacket, LoadReport, Notice, FlowLocated,
+                              BalancerHeartbeat, FlowQuery, FlowAnswer, FlowLocations, OwnersQuery,
+                              OwnersList, ConfirmationQuery, ConfirmationAnswer>;
 
 [[nodiscard]] std::string encode(const CallerFrame &frame);
 [[nodiscard]] std::string encode(const DataPacket &packet);
@@ -35,6 +35,8 @@
 [[nodiscard]] std::string encode(const FlowLocations &locations);
 [[nodiscard]] std::string encode(const OwnersQuery &query);
 [[nodiscard]] std::string encode(const OwnersList &list);
+[[nodiscard]] std::string encode(const ConfirmationQuery &query);
+[[nodiscard]] std::string encode(const ConfirmationAnswer &answer);
 
 /// @brief Decodes any datagram.
 /// @param bytes the datagram as received
--- a/include/bergamotglade/detail/node/packet.hpp
+++ b/include/bergamotglade/detail/node/packet.hpp
@@ -95,6 +95,21 @@
     std::vector<Endpoint> agents;
 };
 
+/// Asks a reader of the platform for the platform's revision at a time after the question.
+struct ConfirmationQuery
+{
+    Endpoint sender;
+    std::uint64_t number = 0; ///< the answer returns it
+};
+
+/// Reply to a ConfirmationQuery.
+struct ConfirmationAnswer
+{
+    Endpoint sender;
+    std::uint64_t number = 0;
+    Revision revision; ///< of the platform, read after the query had arrived
+};
+
 /// Tells the homes of long flows who owns them.
 struct FlowLocations
 {
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -137,6 +137,16 @@
         }
     };
     hooks.onConfirmed = m_hooks.onConfirmed;
+    hooks.sendConfirmationQuery = [this](const Endpoint &reader, const ConfirmationQuery &query) {
+        sendControl(reader, encode(query));
+    };
+    hooks.sendConfirmationAnswer = [this](const Endpoint &process,
+                                          const ConfirmationAnswer &answer) {
+        sendControl(process, encode(answer));
+    };
+    hooks.confirmView = [this](Revision since) {
+        confirmView(since);
+    };
     m_dissemination =
         std::make_unique<Dissemination>(std::move(settings), std::move(hooks), std::move(random));
 }
@@ -185,9 +195,16 @@
                             counters.noticesReceived);
     m_metrics.addCounterRef("peer_fetches", "Changes fetched from peers", counters.peerFetches);
     m_metrics.addCounterRef("platform_reads", "Calls to the platform", counters.platformReads);
+    const ViewConfirmationCounters &confirmations = dissemination.confirmationCounters();
+    m_metrics.addCounterRef("confirmation_queries",
+                            "Questions to readers whether the view is the newest one",
+                            confirmations.queriesSent);
+    m_metrics.addCounterRef("confirmation_queries_unanswered",
+                            "Questions to readers that got no answer in time",
+                            confirmations.queriesUnanswered);
     m_metrics.addCounterRef("confirmation_reads",
-                            "Calls to the platform to find out whether the view is the newest one",
-                            counters.confirmationReads);
+                            "Calls to the platform to find out whether a view is the newest one",
+                            confirmations.reads);
     m_metrics.addCounterRef("platform_failures", "Calls to the platform that failed",
                             counters.platformFailures);
     m_metrics.addCounterRef("platform_stale", "Answers of the platform older than what is in force",
@@ -260,6 +277,14 @@
         m_dissemination->onNotice(*notice, Clock::now());
         return;
     }
+    if (const auto *query = std::get_if<ConfirmationQuery>(&datagram.value())) {
+        m_dissemination->onConfirmationQuery(*query, Clock::now());
+        return;
+    }
+    if (const auto *answer = std::get_if<ConfirmationAnswer>(&datagram.value())) {
+        m_dissemination->onConfirmationAnswer(*answer, Clock::now());
+        return;
+    }
     m_hooks.onDatagram(from, std::move(datagram.value()));
 }
 
@@ -412,6 +437,21 @@
                   });
 }
 
+void ControlPlane::confirmView(Revision since)
+{
+    if (!m_hooks.source || isBlocked(m_settings.platform)) {
+        m_dissemination->onConfirmationFailed(Clock::now());
+        return;
+    }
+    m_hooks.source(since, false, [this](Result<ChangeBatch> batch) {
+        if (!batch || isBlocked(m_settings.platform)) {
+            m_dissemination->onConfirmationFailed(Clock::now());
+        } else {
+            m_dissemination->onConfirmationBatch(batch.value(), Clock::now());
+        }
+    });
+}
+
 void ControlPlane::onPlatformReply(Result<ChangeBatch> batch)
 {
     const Instant now = Clock::now();
--- a/src/dissemination/dissemination.cpp
+++ b/src/dissemination/dissemination.cpp
@@ -38,6 +38,14 @@
     return batch;
 }
 
+ViewConfirmationSettings confirmationSettings(const DisseminationSettings &dissemination)
+{
+    ViewConfirmationSettings settings;
+    settings.self = dissemination.self;
+    settings.firstNumber = dissemination.incarnation.value();
+    return settings;
+}
+
 } // namespace
 
 Dissemination::Dissemination(DisseminationSettings settings, DisseminationHooks hooks,
@@ -47,6 +55,7 @@
     , m_random(std::move(random))
     , m_store(m_settings.mechanisms, m_hooks.applySection, m_hooks.contentOrder)
     , m_pauseDetector(m_settings.pauseThreshold, m_settings.confirmationTimeout)
+    , m_confirmation(confirmationSettings(m_settings), confirmationHooks())
     , m_rumors(m_settings.self, RumorTtl)
     , m_platformRetry(m_settings.retryMin)
     , m_vmListRetry(VmListRetryMin)
@@ -139,48 +148,98 @@
         m_fetchPeer = Endpoint();
     }
     m_isReader = shouldReadPlatform(now);
-    readPlatformIfDue(now);
+    const bool needsPlatform = m_isReader || !m_store.isComplete();
+    if (needsPlatform && !m_platformReadPending && now >= m_nextPlatformRead) {
+        readPlatform(now);
+    }
     if (now >= m_nextVmList) {
         readVmList(now);
     }
+    m_confirmation.onTick(now);
 }
 
-void Dissemination::readPlatformIfDue(Instant now)
+ViewConfirmationHooks Dissemination::confirmationHooks()
 {
-    const bool needsPlatform = m_isReader || !m_store.isComplete() || isConfirmationReadDue(now);
-    if (needsPlatform && !m_platformReadPending && now >= m_nextPlatformRead) {
-        readPlatform(now);
-    }
+    ViewConfirmationHooks hooks;
+    hooks.sendQuery = m_hooks.sendConfirmationQuery;
+    hooks.sendAnswer = m_hooks.sendConfirmationAnswer;
+    hooks.readPlatform = [this] {
+        m_hooks.confirmView(m_store.revision());
+    };
+    hooks.readers = [this] {
+        return readers();
+    };
+    hooks.isReader = [this] {
+        return m_isReader;
+    };
+    hooks.revision = [this] {
+        return m_store.revision();
+    };
+    hooks.onConfirmed = [this] {
+        if (m_hooks.onConfirmed) {
+            m_hooks.onConfirmed();
+        }
+    };
+    return hooks;
 }
 
-bool Dissemination::isConfirmationReadDue(Instant now) const
+std::vector<Endpoint> Dissemination::readers() const
 {
-    const bool isRequested = m_confirmationRequestedAt > m_confirmedSince
-        && now - m_confirmationRequestedAt <= m_settings.confirmationReadInterval;
-    return isRequested && now >= m_nextConfirmationRead;
+    std::vector<Endpoint> readers;
+    if (m_isDomainPassive) {
+        readers = m_remoteReaders;
+    }
+    constexpr std::size_t OwnDomainReaders = 2;
+    for (std::size_t i = 0; i < std::min(OwnDomainReaders, m_vmsByRank.size()); ++i) {
+        readers.push_back(m_vmsByRank[i]);
+    }
+    std::erase(readers, m_settings.self);
+    return readers;
 }
 
 void Dissemination::requestConfirmation(Instant now)
 {
-    m_confirmationRequestedAt = now;
-    readPlatformIfDue(now);
-    if (now >= m_nextConfirmationNotices) {
-        m_nextConfirmationNotices = now + m_settings.confirmationNoticeInterval;
-        if (m_settings.asksReaders) {
-            askReaders(now);
-        }
-        notifyRandomPeers(1, true, now);
+    // Without a view the platform is being read anyway.
+    if (m_store.hasRoot()) {
+        m_confirmation.request(now);
+    }
+}
+
+void Dissemination::onConfirmationQuery(const ConfirmationQuery &query, Instant now)
+{
+    if (m_store.hasRoot()) {
+        m_confirmation.onQuery(query, now);
+    }
+}
+
+void Dissemination::onConfirmationBatch(const ChangeBatch &batch, Instant now)
+{
+    mayAct(now);
+    if (batch.upTo >= m_store.revision()) {
+        applyPlatformBatch(batch, now);
+    }
+    m_confirmation.onRead(batch.upTo, now);
+}
+
+void Dissemination::onConfirmationAnswer(const ConfirmationAnswer &answer, Instant now)
+{
+    m_confirmation.onAnswer(answer);
+    if (answer.revision > m_store.revision()) {
+        fetch(answer.sender, now);
     }
 }
 
 bool Dissemination::isConfirmedSince(Instant since, Instant now) const
 {
     // The answer of another process may have been on the way for a while.
-    if (m_confirmedSince >= since || m_platformConfirmedAt >= since + m_settings.spreadTimeMax) {
+    if (m_confirmation.confirmedSince() >= since
+        || m_platformConfirmedAt >= since + m_settings.spreadTimeMax) {
         return true;
     }
+    const Instant failedReadStartedAt =
+        std::max(m_failedReadStartedAt, m_confirmation.failedReadStartedAt());
     const bool isPlatformAway =
-        m_failedReadStartedAt >= since && platformAge(now) > m_settings.spreadTimeMax;
+        failedReadStartedAt >= since && now - m_platformReachedAt > m_settings.spreadTimeMax;
     const bool hasHeardOthers =
         now - m_viewChangedAt > m_settings.spreadTimeMax && isConnected(now);
     return isReady(now) && isPlatformAway && hasHeardOthers;
@@ -212,12 +271,7 @@
 void Dissemination::readPlatform(Instant now)
 {
     // The first read and a read after a pause must return at once, not wait for a change.
-    bool watch = m_platformAnswered && !m_pauseDetector.isSuspect(now);
-    if (isConfirmationReadDue(now)) {
-        watch = false;
-        m_nextConfirmationRead = now + m_settings.confirmationReadInterval;
-        ++m_counters.confirmationReads;
-    }
+    const bool watch = m_platformAnswered && !m_pauseDetector.isSuspect(now);
     m_platformReadPending = true;
     m_readStartedAt = now;
     ++m_counters.platformReads;
@@ -229,8 +283,6 @@
     mayAct(now);
     m_platformReadPending = false;
     m_platformRetry = m_settings.retryMin;
-    // The hooks called below may start the next read.
-    const Instant readStartedAt = m_readStartedAt;
     const bool hasChanges = batch.upTo > m_store.revision() && m_store.hasRoot();
     m_nextPlatformRead = now + (hasChanges ? m_settings.changeCoalescingTime : Millis(0));
     if (batch.upTo < m_store.revision() && m_settings.mechanisms.neverRevert) {
@@ -241,25 +293,28 @@
     }
     const bool hasNoPeers = peers().empty() || !m_settings.mechanisms.askPeers;
     const bool holdsRoot = m_store.hasRoot() || !m_settings.mechanisms.askPeers;
-    m_platformAnswered = true;
-    m_platformConfirmedAt = now;
-    m_fullFetchDue = m_fullFetchDue || batch.upTo.era() > m_store.revision().era();
-    const bool afterOutage =
-        m_platformFailedAt != Instant() && now - m_platformFailedAt <= m_settings.postOutageWindow;
-    applyBatch(afterOutage ? markRemovalsLapsed(batch) : batch, now);
+    applyPlatformBatch(batch, now);
     // An answer received before any root is held may be stale and confirms nothing. A later one
     // does if the view was confirmed before or there is no peer to ask.
     if (holdsRoot && (m_confirmedOnce || hasNoPeers)) {
-        confirm(readStartedAt);
+        confirm(m_readStartedAt);
     }
     if (batch.upTo == m_store.revision()) {
-        m_confirmedSince = readStartedAt;
-        if (m_hooks.onConfirmed) {
-            m_hooks.onConfirmed();
-        }
+        m_confirmation.confirm(m_readStartedAt);
     }
 }
 
+void Dissemination::applyPlatformBatch(const ChangeBatch &batch, Instant now)
+{
+    m_platformAnswered = true;
+    m_platformConfirmedAt = now;
+    m_platformReachedAt = now;
+    m_fullFetchDue = m_fullFetchDue || batch.upTo.era() > m_store.revision().era();
+    const bool afterOutage =
+        m_platformFailedAt != Instant() && now - m_platformFailedAt <= m_settings.postOutageWindow;
+    applyBatch(afterOutage ? markRemovalsLapsed(batch) : batch, now);
+}
+
 void Dissemination::onPlatformFailed(Instant now)
 {
     m_platformReadPending = false;
@@ -283,9 +338,6 @@
     if (!m_store.apply(batch)) {
         return;
     }
-    if (m_store.revision() != before) {
-        m_viewChangedAt = now;
-    }
     updateAgents();
     // A process that starts enters the current era without a change of eras.
     if (before != Revision() && m_store.revision().era() > before.era()) {
@@ -298,6 +350,8 @@
         m_hooks.onChange();
     }
     if (m_store.revision() > before) {
+        m_viewChangedAt = now;
+        m_confirmation.onRevisionChange();
         notifyRandomPeers(m_settings.fanOut, false, now);
     }
 }
@@ -369,6 +423,7 @@
         return;
     }
     ++m_counters.noticesReceived;
+    m_platformReachedAt = std::max(m_platformReachedAt, now - notice.platformAge);
     if (notice.echo != 0 && isAgent(notice.sender)) {
         m_lastReplyAt = now;
     }
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -19,7 +19,9 @@
     FlowAnswer,
     FlowLocations,
     OwnersQuery,
-    OwnersList
+    OwnersList,
+    ConfirmationQuery,
+    ConfirmationAnswer
 };
 
 constexpr std::size_t ListItemsMax = 4096;
@@ -303,6 +305,24 @@
     return query;
 }
 
+ConfirmationQuery readConfirmationQuery(FieldReader &in)
+{
+    ConfirmationQuery query;
+    query.sender = in.endpoint();
+    query.number = in.number();
+    return query;
+}
+
+ConfirmationAnswer readConfirmationAnswer(FieldReader &in)
+{
+    ConfirmationAnswer answer;
+    answer.sender = in.endpoint();
+    answer.number = in.number();
+    const std::uint64_t revision = in.number();
+    answer.revision = Revision(revision, in.trailingNumber());
+    return answer;
+}
+
 OwnersList readOwnersList(FieldReader &in)
 {
     OwnersList list;
@@ -514,6 +534,23 @@
     return out.result();
 }
 
+std::string encode(const ConfirmationQuery &query)
+{
+    constexpr std::uint32_t Fields = 2;
+    FieldWriter out(MessageKind::ConfirmationQuery, Fields);
+    out.endpoint(query.sender).number(query.number);
+    return out.result();
+}
+
+std::string encode(const ConfirmationAnswer &answer)
+{
+    constexpr std::uint32_t Fields = 3;
+    FieldWriter out(MessageKind::ConfirmationAnswer, Fields + eraFields(answer.revision));
+    out.endpoint(answer.sender).number(answer.number).number(answer.revision.value());
+    writeEra(out, answer.revision);
+    return out.result();
+}
+
 std::string encode(const OwnersList &list)
 {
     constexpr std::uint32_t Fields = 4;
@@ -580,6 +617,10 @@
         return decodeAsDatagram(bytes, readOwnersQuery);
     case MessageKind::OwnersList:
         return decodeAsDatagram(bytes, readOwnersList);
+    case MessageKind::ConfirmationQuery:
+        return decodeAsDatagram(bytes, readConfirmationQuery);
+    case MessageKind::ConfirmationAnswer:
+        return decodeAsDatagram(bytes, readConfirmationAnswer);
     case MessageKind::Handover:
         break;
     }
--- a/tests/unit-codec.cpp
+++ b/tests/unit-codec.cpp
@@ -122,6 +122,21 @@
     EXPECT_EQ(decoded.value().committed, message.committed);
 }
 
+TEST(DatagramCodec, ConfirmationsRoundTrip)
+{
+    const Endpoint sender {0x0a010001, 7720};
+    const auto query = decodeDatagram(encode(ConfirmationQuery {sender, 17}));
+    ASSERT_TRUE(query);
+    EXPECT_EQ(std::get<ConfirmationQuery>(query.value()).sender, sender);
+    EXPECT_EQ(std::get<ConfirmationQuery>(query.value()).number, 17U);
+    for (const Revision revision : {Revision(9), Revision(9, 2)}) {
+        const auto answer = decodeDatagram(encode(ConfirmationAnswer {sender, 17, revision}));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(std::get<ConfirmationAnswer>(answer.value()).number, 17U);
+        EXPECT_EQ(std::get<ConfirmationAnswer>(answer.value()).revision, revision);
+    }
+}
+
 TEST(DatagramCodec, ArbitraryBytesDoNotCrashTheDecoders)
 {
     check("arbitrary bytes do not crash the decoders", [] {
