Restore checks of when a confirmation counts from

Two tests check it again, of ViewConfirmation and of the watch; each is red with `now` in place of the start.

--- a/tests/unit-view-confirmation.cpp
+++ b/tests/unit-view-confirmation.cpp
@@ -130,6 +130,20 @@
     EXPECT_EQ(reader.answers.back().second.revision, Revision(6));
 }
 
+// Guards against taking an answer for that of the read that its arrival has started.
+TEST(ViewConfirmation, AnswerCountsFromTheStartOfItsOwnRead)
+{
+    Confirmation reader(true);
+    reader.state.request(reader.now);
+    EXPECT_EQ(reader.reads, 1U);
+    reader.now += Millis(300);
+    reader.state.request(reader.now);
+    reader.state.onQuery({Reader, 1}, reader.now);
+    reader.state.onRead(Revision(5), reader.now);
+    EXPECT_EQ(reader.reads, 2U);
+    EXPECT_EQ(reader.state.confirmedSince(), Start);
+}
+
 // Guards against a read of the platform for each process that is in doubt after a large failure.
 TEST(ViewConfirmation, ManyQueriesTakeFewReads)
 {
@@ -234,6 +248,11 @@
         hooks.sendConfirmationQuery = [this](const Endpoint &, const ConfirmationQuery &query) {
             lastQuery = query;
         };
+        hooks.onChange = [this] {
+            if (asksAtChanges) {
+                dissemination.requestConfirmation(now);
+            }
+        };
         hooks.confirmView = [this](Revision) {
             isReading = true;
         };
@@ -266,6 +285,7 @@
     }
 
     bool readerReplies = true;
+    bool asksAtChanges = false; ///< requests a confirmation at each change
     Millis readerPlatformAge {100}; ///< as the reader reports it
     std::uint64_t readerRevision = 5;
     Instant now = Start;
@@ -278,6 +298,21 @@
 
 } // namespace
 
+// Guards against a watch that confirms a time after its start.
+TEST(ConfirmedView, WatchConfirmsTheTimeOfItsStart)
+{
+    Process process;
+    process.asksAtChanges = true;
+    ChangeBatch news;
+    news.since = Revision(5);
+    news.upTo = Revision(6);
+    news.changes = {{RootName, Revision(6), "s"}};
+    process.dissemination.onPlatformBatch(news, process.now);
+    // The latest watch started at the start of the process.
+    EXPECT_TRUE(process.dissemination.isConfirmedSince(Start, process.now));
+    EXPECT_FALSE(process.dissemination.isConfirmedSince(process.now - Millis(100), process.now));
+}
+
 // Guards against waiting for gossip when the answer names a newer revision.
 TEST(ConfirmedView, NewerRevisionIsFetchedFromTheReaderThatNamesIt)
 {
