Start with figures of the platform that are fractions

Cause: the template renders `flow_max: 62.5s`, and parseDuration() read whole numbers only. Deeper: a figure that the platform states and may change at any time was checked like a line typed by an operator, so that any figure out of range kept the daemons from starting.

Evidence: `error 104: steering: 'flow_max' must be a duration such as 200ms, ..., got '62.5s'`, `settings rejected`, 76 times at side-east-1 alone; the settings changed at 7.859 s, and the first process that did not come back ended at 9.669 s.

Ruled out: a half-written or unreadable file (the finding quotes the value with line and column); the template, which renders what is stated.

Change: durations are decimal numbers, also with an exponent, rounded up to whole milliseconds. flow_max and link_mbps are read as figures of the platform: an invalid one is one warning with its line, and the figure in force remains, or the default at a start. Other invalid values are errors as before.

--- a/include/bergamotglade/detail/config/yaml_map.hpp
+++ b/include/bergamotglade/detail/config/yaml_map.hpp
@@ -28,7 +28,9 @@
 /// undefined node.
 [[nodiscard]] YAML::Node loadYaml(std::string_view text, FindingSink &sink);
 
-/// @brief Parses a duration such as `200ms`, `2s`, `5m`, `1h` or `30d`.
+/// @brief Parses a duration such as `200ms`, `2s`, `62.5s`, `5m`, `1h` or `30d`: a decimal number,
+/// also with an exponent, from 0 to 1,000,000, and its unit.
+/// @return the duration, fractions of a millisecond rounded up; nullopt if the text is not one
 [[nodiscard]] std::optional<Millis> parseDuration(std::string_view text);
 
 /// One mapping. Each read function leaves `out` unchanged if the key is absent or its value
@@ -46,6 +48,12 @@
     void integer(const char *key, std::int64_t &out, std::int64_t min, std::int64_t max,
                  Need need = Need::Optional);
     void real(const char *key, double &out, double min, double max, Need need = Need::Optional);
+    /// @brief Like duration() and real(), for a figure that is rendered from what the platform
+    /// states. It may change at any time, and no such change may keep a process from starting: an
+    /// invalid figure is a warning, and `out` gets the one in force.
+    /// @param inForce figure in force so far; at the start of the process, the default
+    void platformDuration(const char *key, Millis &out, Millis inForce);
+    void platformReal(const char *key, double &out, double min, double max, double inForce);
     void boolean(const char *key, bool &out);
     void state(const char *key, AdminState &out);
     void list(const char *key, const std::function<void(const YAML::Node &)> &each,
@@ -65,7 +73,8 @@
 
 private:
     YAML::Node find(const char *key, Need need);
-    void addWrongType(const char *key, const YAML::Node &value, const std::string &expected);
+    void addWrongType(const char *key, const YAML::Node &value, const std::string &expected,
+                      Severity severity = Severity::Error);
     [[nodiscard]] std::string similarKey(const std::string &key) const;
 
     YAML::Node m_node;
--- a/include/bergamotglade/detail/daemon/settings.hpp
+++ b/include/bergamotglade/detail/daemon/settings.hpp
@@ -68,8 +68,12 @@
 [[nodiscard]] Result<std::string> readFile(const std::string &path);
 
 /// @brief Reads and checks a settings file.
+/// @param inForce settings of the running process; they replace invalid figures of the platform
+/// (flowMax, linkMbps), which are warnings
 /// @return the settings unless a finding is an error, and all findings
-[[nodiscard]] CheckResult<BalancerSettings> loadBalancerSettings(const std::string &path);
-[[nodiscard]] CheckResult<AgentDaemonSettings> loadAgentSettings(const std::string &path);
+[[nodiscard]] CheckResult<BalancerSettings>
+loadBalancerSettings(const std::string &path, const SteeringDaemonSettings &inForce = {});
+[[nodiscard]] CheckResult<AgentDaemonSettings>
+loadAgentSettings(const std::string &path, const SteeringDaemonSettings &inForce = {});
 
 } // namespace bergamotglade
--- a/src/config/yaml_map.cpp
+++ b/src/config/yaml_map.cpp
@@ -2,9 +2,21 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace bergamotglade {
 
+namespace {
+
+std::optional<double> readReal(const YAML::Node &value, double min, double max)
+{
+    double number = 0;
+    const bool isNumber = value.IsScalar() && YAML::convert<double>::decode(value, number);
+    return isNumber && number >= min && number <= max ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
 SourceLocation FindingSink::locationOf(const YAML::Mark &mark) const
 {
     SourceLocation location {file, section, 0, 0};
@@ -42,21 +54,22 @@
     struct Unit
     {
         std::string_view name;
-        std::int64_t millis;
+        double millis;
     };
     static constexpr Unit Units[] = {
         {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}, {"d", 86'400'000}};
-    constexpr std::int64_t CountMax = 1'000'000;
-    std::int64_t count = 0;
+    constexpr double CountMax = 1'000'000;
+    double count = 0;
     const char *end = text.data() + text.size();
     const auto [next, error] = std::from_chars(text.data(), end, count);
-    if (error != std::errc() || count < 0 || count > CountMax) {
+    // The negated condition rejects NaN as well.
+    if (error != std::errc() || !(count >= 0 && count <= CountMax)) {
         return std::nullopt;
     }
     const std::string_view unit(next, static_cast<std::size_t>(end - next));
     for (const Unit &known : Units) {
         if (unit == known.name) {
-            return Millis(count * known.millis);
+            return Millis(static_cast<std::int64_t>(std::ceil(count * known.millis)));
         }
     }
     return std::nullopt;
@@ -89,11 +102,12 @@
     return YAML::Node(YAML::NodeType::Undefined);
 }
 
-void YamlMap::addWrongType(const char *key, const YAML::Node &value, const std::string &expected)
+void YamlMap::addWrongType(const char *key, const YAML::Node &value, const std::string &expected,
+                           Severity severity)
 {
     std::string got = value.IsScalar() ? ", got '" + value.Scalar() + "'" : "";
     m_sink.add(FindingCode::WrongType, value.Mark(),
-               m_subject + ": '" + key + "' must be " + expected + got);
+               m_subject + ": '" + key + "' must be " + expected + got, severity);
 }
 
 void YamlMap::text(const char *key, std::string &out, Need need)
@@ -161,14 +175,46 @@
     if (!value.IsDefined()) {
         return;
     }
-    double number = 0;
-    const bool valid = value.IsScalar() && YAML::convert<double>::decode(value, number);
-    if (!valid || !(number >= min && number <= max)) {
+    const auto number = readReal(value, min, max);
+    if (!number) {
         addWrongType(key, value,
                      "a number from " + std::to_string(min) + " to " + std::to_string(max));
         return;
     }
-    out = number;
+    out = *number;
+}
+
+void YamlMap::platformDuration(const char *key, Millis &out, Millis inForce)
+{
+    const YAML::Node value = find(key, Need::Optional);
+    if (!value.IsDefined()) {
+        return;
+    }
+    const auto parsed = parseDuration(value.IsScalar() ? value.Scalar() : std::string());
+    const bool isValid = parsed && *parsed > Millis(0);
+    if (!isValid) {
+        addWrongType(key, value,
+                     "a positive duration such as 62.5s; using " + std::to_string(inForce.count())
+                         + "ms",
+                     Severity::Warning);
+    }
+    out = isValid ? *parsed : inForce;
+}
+
+void YamlMap::platformReal(const char *key, double &out, double min, double max, double inForce)
+{
+    const YAML::Node value = find(key, Need::Optional);
+    if (!value.IsDefined()) {
+        return;
+    }
+    const auto number = readReal(value, min, max);
+    if (!number) {
+        addWrongType(key, value,
+                     "a number from " + std::to_string(min) + " to " + std::to_string(max)
+                         + "; using " + std::to_string(inForce),
+                     Severity::Warning);
+    }
+    out = number.value_or(inForce);
 }
 
 void YamlMap::boolean(const char *key, bool &out)
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -49,7 +49,7 @@
 }
 
 void readSteering(YamlMap &map, std::optional<SteeringDaemonSettings> &steering, bool isAgent,
-                  FindingSink &sink)
+                  const SteeringDaemonSettings &inForce, FindingSink &sink)
 {
     map.map("steering", [&](const YAML::Node &node) {
         steering.emplace();
@@ -59,12 +59,12 @@
         if (isAgent) {
             steeringMap.endpoint("from_upstream", steering->fromUpstream, Need::Required);
         }
-        steeringMap.duration("flow_max", steering->flowMax);
+        steeringMap.platformDuration("flow_max", steering->flowMax, inForce.flowMax);
         steeringMap.duration("watch_time", steering->watchTime);
         steeringMap.boolean("first_start", steering->isFirstStart);
         // Settings of agents are rendered from the same template, so they contain the key as well.
         constexpr double LinkMbpsMax = 1'000'000;
-        steeringMap.real("link_mbps", steering->linkMbps, 0, LinkMbpsMax);
+        steeringMap.platformReal("link_mbps", steering->linkMbps, 0, LinkMbpsMax, inForce.linkMbps);
         steeringMap.finish();
     });
 }
@@ -139,22 +139,24 @@
     return text.str();
 }
 
-CheckResult<BalancerSettings> loadBalancerSettings(const std::string &path)
+CheckResult<BalancerSettings> loadBalancerSettings(const std::string &path,
+                                                   const SteeringDaemonSettings &inForce)
 {
     return load<BalancerSettings>(path,
-                                  [](YamlMap &map, BalancerSettings &settings, FindingSink &sink) {
+                                  [&](YamlMap &map, BalancerSettings &settings, FindingSink &sink) {
                                       readCommon(map, settings.common, sink);
-                                      readSteering(map, settings.steering, false, sink);
+                                      readSteering(map, settings.steering, false, inForce, sink);
                                       map.boolean("uniform", settings.uniform);
                                   });
 }
 
-CheckResult<AgentDaemonSettings> loadAgentSettings(const std::string &path)
+CheckResult<AgentDaemonSettings> loadAgentSettings(const std::string &path,
+                                                   const SteeringDaemonSettings &inForce)
 {
     return load<AgentDaemonSettings>(
-        path, [](YamlMap &map, AgentDaemonSettings &settings, FindingSink &sink) {
+        path, [&](YamlMap &map, AgentDaemonSettings &settings, FindingSink &sink) {
             readCommon(map, settings.common, sink);
-            readSteering(map, settings.steering, true, sink);
+            readSteering(map, settings.steering, true, inForce, sink);
             readAgent(map, settings, sink);
             settings.agent.domain = settings.common.domain;
         });
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -48,7 +48,7 @@
             return m_steering->activeFlowCount(Clock::now()) == 0;
         };
         hooks.onReload = [this] {
-            m_process.reload(loadAgentSettings(m_settingsPath));
+            m_process.reload(loadAgentSettings(m_settingsPath, *m_settings.steering));
         };
         m_process.setHooks(std::move(hooks));
         return m_process.run();
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -58,7 +58,7 @@
 private:
     void reload()
     {
-        const auto checked = loadBalancerSettings(m_settingsPath);
+        const auto checked = loadBalancerSettings(m_settingsPath, *m_settings.steering);
         m_process.reload(checked);
         if (!checked.value || !checked.value->steering) {
             return;
