Give services of weight 0 no new flows

Cause: Directory::routeIncludes() told whether a route names a service. Hand-off and acceptance of new flows asked it, and so did the lists of possible owners of open flows; with the weight 0 the two differ.

Evidence: side-east-2, version 8: `hand on`, `rate limit of the cold upstream reached`, flow 127.40.0.7:23910, to side-east-other-1 of the service with the weight 0, which logs `take`. 54 of 271 such lines name an agent of that service.

Ruled out: an outdated view (all lines are of version 8); the balancers' choice (all `offer` lines name agents of the other service).

Change: namesService() for open flows, sendsNewFlowsTo() for new ones; acceptsNewFlows() takes the route. An agent refuses new flows of a route that gives its service the weight 0, queued ones included, and hands them on. If all weights are 0, a balancer rejects new flows at once, where it took the first service before; the version gets a warning (204) that names the route, and open flows live on. The explanation of a flow says why such a candidate gets no flows.

--- a/include/bergamotglade/detail/core/finding.hpp
+++ b/include/bergamotglade/detail/core/finding.hpp
@@ -18,7 +18,7 @@
     DuplicateId = 201, ///< an id or key is used twice
     UnknownReference = 202, ///< a reference to an undeclared name
     AddressConflict = 203, ///< an address is used twice
-    ZeroWeight = 204, ///< an upstream of weight 0 receives no requests; use `state: out`
+    ZeroWeight = 204, ///< an upstream, or every service of a route, has the weight 0
     MissingSection = 205, ///< a section listed by the root does not exist
     NoUpstreams = 206, ///< a service without upstreams
     OlderContent = 207, ///< content of a restored platform that is older than what is known
--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -307,7 +307,8 @@
     /// @brief Whether the upstream is suspect and may get a new flow now, as a probe. Returning
     /// true delays the next probe.
     [[nodiscard]] bool claimProbe(Instant now);
-    [[nodiscard]] std::optional<Endpoint> lessLoadedPeer(Instant now) const;
+    [[nodiscard]] std::optional<Endpoint> lessLoadedPeer(const RouteEntry &route,
+                                                         Instant now) const;
     void enqueue(const Segment &segment, PacketBytes bytes, const RouteEntry &route, Instant now);
     void resetQueued(const QueuedOpening &opening, std::string_view reason, Millis expected,
                      Instant now);
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -97,7 +97,9 @@
         return m_droppedRoutes.contains(address);
     }
     /// @brief Selects the service of a new flow according to the weights of the route.
-    [[nodiscard]] static ServiceName serviceFor(const RouteEntry &route, const FlowKey &flow);
+    /// @return nullopt if all weights are 0
+    [[nodiscard]] static std::optional<ServiceName> serviceFor(const RouteEntry &route,
+                                                               const FlowKey &flow);
     /// @brief Returns the candidates for new flows of a service; null if none of its upstreams
     /// accepts new flows.
     [[nodiscard]] const ServiceTable *serviceTable(const ServiceName &service) const;
@@ -118,8 +120,11 @@
     /// @brief Adds possible owners that another agent lists. This process cannot know them if it
     /// has started after the change that removed them from the configuration.
     void addPossibleOwners(const Endpoint &route, const std::vector<Endpoint> &agents, Instant now);
-    /// @brief Whether new flows of the route may go to the service.
-    [[nodiscard]] static bool routeIncludes(const RouteEntry &route, const ServiceName &service);
+    /// @brief Whether the route names the service, whatever its weight, so that upstreams of the
+    /// service may own open flows of the route.
+    [[nodiscard]] static bool namesService(const RouteEntry &route, const ServiceName &service);
+    /// @brief Whether new flows of the route go to the service: its weight is above 0.
+    [[nodiscard]] static bool sendsNewFlowsTo(const RouteEntry &route, const ServiceName &service);
 
     /// @brief Returns the upstream at an address, or null.
     [[nodiscard]] const KnownUpstream *upstreamByAddress(const Endpoint &address) const;
@@ -128,6 +133,10 @@
     /// @brief Whether the upstream accepts new flows: it is not leaving, and its failure domain is
     /// not out.
     [[nodiscard]] bool acceptsNewFlows(const KnownUpstream &upstream) const;
+    /// @brief Whether the upstream accepts new flows of the route: it accepts new flows, and the
+    /// route sends them to its service.
+    [[nodiscard]] bool acceptsNewFlows(const KnownUpstream &upstream,
+                                       const RouteEntry &route) const;
     /// @brief New flows per second that a cold upstream of the service accepts; 0 means no limit.
     [[nodiscard]] double coldFlowRate(const ServiceName &service) const;
     /// @brief Idle time after which the owner of a flow may forget it: the longest that was
@@ -177,6 +186,8 @@
     };
 
     Findings applyRoutes(const SectionChange &change, Instant now);
+    /// @brief One warning for each route whose weights are all 0.
+    [[nodiscard]] Findings weightFindings(const SectionName &section) const;
     void applyFlowIdleTimeout(const RouteDocument &document, Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change, Instant now);
--- a/src/steering/agent_queue.cpp
+++ b/src/steering/agent_queue.cpp
@@ -33,12 +33,13 @@
     return route == nullptr ? 0 : route->priority;
 }
 
-std::optional<Endpoint> AgentSteering::lessLoadedPeer(Instant now) const
+std::optional<Endpoint> AgentSteering::lessLoadedPeer(const RouteEntry &route, Instant now) const
 {
     const LoadEstimate own = load(now);
     return m_peerLoads.findLessLoadedPeer(own, now, [&](const Endpoint &agent) {
         const KnownUpstream *peer = m_directory.upstreamByAgent(agent);
-        if (agent == m_settings.self || peer == nullptr || !m_directory.acceptsNewFlows(*peer)
+        if (agent == m_settings.self || peer == nullptr
+            || !m_directory.acceptsNewFlows(*peer, route)
             || m_peerLoads.reportAgeOf(agent, now) > m_settings.handOffReportAgeMax) {
             return false;
         }
@@ -209,7 +210,7 @@
         std::optional<Endpoint> peer;
         if (reason.empty()) {
             if (next.trail.hops < m_settings.openingHopsMax) {
-                peer = lessLoadedPeer(now);
+                peer = lessLoadedPeer(*route, now);
             }
             if (!peer) {
                 m_queue.push(std::move(next), now);
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -122,7 +122,7 @@
         return;
     }
     const auto peer =
-        segment.trail.hops < m_settings.openingHopsMax ? lessLoadedPeer(now) : std::nullopt;
+        segment.trail.hops < m_settings.openingHopsMax ? lessLoadedPeer(*route, now) : std::nullopt;
     if (peer) {
         handOffOpening(segment.flow, std::move(bytes), segment.trail, "upstream is full",
                        segment.acknowledgement, now, peer);
@@ -134,8 +134,10 @@
 std::string_view AgentSteering::rejectionReason(const RouteEntry &route, const Trail &trail,
                                                 Instant now)
 {
-    if (!Directory::routeIncludes(route, m_settings.service)) {
-        return "service of the agent is not in the route";
+    if (!Directory::sendsNewFlowsTo(route, m_settings.service)) {
+        return Directory::namesService(route, m_settings.service)
+            ? "service of the agent has the weight 0"
+            : "service of the agent is not in the route";
     }
     if (m_directory.isOut(m_settings.domain)) {
         return "failure domain is out";
@@ -229,8 +231,7 @@
 {
     std::vector<Endpoint> agents;
     for (const auto &[id, known] : m_directory.upstreams()) {
-        if (known.entry.agent != m_settings.self && m_directory.acceptsNewFlows(known)
-            && Directory::routeIncludes(route, known.entry.service)
+        if (known.entry.agent != m_settings.self && m_directory.acceptsNewFlows(known, route)
             && !m_peerLoads.isDraining(known.entry.agent)) {
             agents.push_back(known.entry.agent);
         }
--- a/src/steering/balancer_steering.cpp
+++ b/src/steering/balancer_steering.cpp
@@ -106,11 +106,13 @@
                  now);
     if (flow.tried.empty()) {
         m_flows.erase(segment.flow);
-        if (!m_directory.isSettled(now)) {
+        const bool hasService = Directory::serviceFor(route, segment.flow).has_value();
+        if (hasService && !m_directory.isSettled(now)) {
             holdOpening(segment, std::move(bytes), now);
             return;
         }
-        rejectFlow(segment, "no upstream takes flows", now);
+        rejectFlow(segment,
+                   hasService ? "no upstream takes flows" : "all weights of the route are 0", now);
     }
 }
 
@@ -146,8 +148,11 @@
         const RouteEntry *route = m_directory.routeByAddress(key.service);
         if (route == nullptr) {
             onUnrouted(held.segment, std::move(held.bytes), held.lastCopyAt, now);
-        } else if (m_directory.serviceTable(Directory::serviceFor(*route, key)) != nullptr
-                   || m_directory.isSettled(now)) {
+            continue;
+        }
+        const auto service = Directory::serviceFor(*route, key);
+        if (!service || m_directory.serviceTable(*service) != nullptr
+            || m_directory.isSettled(now)) {
             resumeOpening(held.segment, std::move(held.bytes), held.lastCopyAt, now);
         } else {
             m_heldOpenings.emplace(key, std::move(held));
@@ -223,7 +228,8 @@
                                                       const std::vector<Endpoint> &tried,
                                                       Instant now)
 {
-    const ServiceTable *table = m_directory.serviceTable(Directory::serviceFor(route, key));
+    const auto service = Directory::serviceFor(route, key);
+    const ServiceTable *table = service ? m_directory.serviceTable(*service) : nullptr;
     if (table == nullptr) {
         return std::nullopt;
     }
@@ -247,7 +253,7 @@
     std::vector<Endpoint> suspect;
     for (const Upstream &upstream : table->service().upstreams) {
         const KnownUpstream *known = m_directory.upstreamByAgent(upstream.agent);
-        if (known != nullptr && m_directory.acceptsNewFlows(*known)
+        if (known != nullptr && m_directory.acceptsNewFlows(*known, route)
             && !contains(tried, upstream.agent)) {
             (isSuspect(upstream.agent, now) ? suspect : healthy).push_back(upstream.agent);
         }
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -1,6 +1,7 @@
 #include <bergamotglade/detail/steering/directory.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace bergamotglade {
 
@@ -20,6 +21,13 @@
             SourceLocation {change.name.str(), change.name.str(), 0, 0}, describe(error)};
 }
 
+std::uint64_t totalWeight(const RouteEntry &route)
+{
+    return std::accumulate(
+        route.services.begin(), route.services.end(), std::uint64_t(0),
+        [](std::uint64_t sum, const WeightedService &s) { return sum + s.weight.value(); });
+}
+
 } // namespace
 
 Directory::Directory(DirectorySettings settings)
@@ -69,7 +77,7 @@
             continue;
         }
         for (const WeightedService &service : before.services) {
-            if (!routeIncludes(after->second, service.name)) {
+            if (!namesService(after->second, service.name)) {
                 m_formerServices[address].push_back(
                     {service.name, now + m_settings.flowLifetimeMax});
             }
@@ -99,7 +107,21 @@
         m_mayLackFormerServices = !m_settings.isFirstStart;
     }
     m_version = document.value().version;
-    return {};
+    return weightFindings(change.name);
+}
+
+Findings Directory::weightFindings(const SectionName &section) const
+{
+    Findings findings;
+    for (const auto &[address, route] : m_routes) {
+        if (totalWeight(route) == 0) {
+            findings.push_back(
+                {FindingCode::ZeroWeight, Severity::Warning,
+                 SourceLocation {section.str(), section.str(), 0, 0},
+                 "route " + address.str() + " gets no new flows: all its weights are 0"});
+        }
+    }
+    return findings;
 }
 
 void Directory::applyFlowIdleTimeout(const RouteDocument &document, Instant now)
@@ -318,14 +340,11 @@
     return found == m_routes.end() ? nullptr : &found->second;
 }
 
-ServiceName Directory::serviceFor(const RouteEntry &route, const FlowKey &flow)
+std::optional<ServiceName> Directory::serviceFor(const RouteEntry &route, const FlowKey &flow)
 {
-    std::uint64_t total = 0;
-    for (const WeightedService &service : route.services) {
-        total += service.weight.value();
-    }
+    const std::uint64_t total = totalWeight(route);
     if (total == 0) {
-        return route.services.empty() ? ServiceName() : route.services.front().name;
+        return std::nullopt;
     }
     std::uint64_t pick = hashPair(flow.hash(), SplitSeed) % total;
     for (const WeightedService &service : route.services) {
@@ -428,12 +447,19 @@
     return {PossibleOwners(std::move(listed)), PossibleOwners(std::move(others))};
 }
 
-bool Directory::routeIncludes(const RouteEntry &route, const ServiceName &service)
+bool Directory::namesService(const RouteEntry &route, const ServiceName &service)
 {
     return std::any_of(route.services.begin(), route.services.end(),
                        [&](const WeightedService &s) { return s.name == service; });
 }
 
+bool Directory::sendsNewFlowsTo(const RouteEntry &route, const ServiceName &service)
+{
+    return std::any_of(route.services.begin(), route.services.end(), [&](const WeightedService &s) {
+        return s.name == service && s.weight.value() > 0;
+    });
+}
+
 const KnownUpstream *Directory::upstreamByAddress(const Endpoint &address) const
 {
     const auto found = m_byAddress.find(address);
@@ -451,6 +477,11 @@
     return !upstream.entry.leaving && !m_view.isOut(upstream.entry.domain);
 }
 
+bool Directory::acceptsNewFlows(const KnownUpstream &upstream, const RouteEntry &route) const
+{
+    return acceptsNewFlows(upstream) && sendsNewFlowsTo(route, upstream.entry.service);
+}
+
 double Directory::coldFlowRate(const ServiceName &service) const
 {
     const auto found = m_coldFlowRates.find(service);
--- a/src/steering/flow_explanation.cpp
+++ b/src/steering/flow_explanation.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-std::string_view stateOf(const Directory &directory, const KnownUpstream &upstream)
+std::string_view stateOf(const Directory &directory, const RouteEntry &route,
+                         const KnownUpstream &upstream)
 {
     if (directory.isOut(upstream.entry.domain)) {
         return "failure domain is out";
@@ -12,7 +13,10 @@
     if (upstream.entry.leaving) {
         return "upstream is leaving";
     }
-    return directory.acceptsNewFlows(upstream) ? "takes flows" : "takes no new flows";
+    if (!Directory::sendsNewFlowsTo(route, upstream.entry.service)) {
+        return "route sends no new flows to the service";
+    }
+    return directory.acceptsNewFlows(upstream, route) ? "takes flows" : "takes no new flows";
 }
 
 } // namespace
@@ -31,7 +35,7 @@
         if (const KnownUpstream *known = directory.upstreamByAgent(agent)) {
             candidate.upstream = known->entry.id;
             candidate.domain = known->entry.domain;
-            candidate.state = stateOf(directory, *known);
+            candidate.state = stateOf(directory, *route, *known);
         }
         candidates.push_back(candidate);
     }
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -340,6 +340,29 @@
     EXPECT_EQ(directory.possibleOwners(route).list().size(), 1U);
 }
 
+TEST(Directory, ServiceOfWeightZeroIsSearchedButGetsNoNewFlows)
+{
+    DirectorySettings settings;
+    settings.isFirstStart = true;
+    Directory directory(settings);
+    directory.applySection(change(entry("x", "kits", 1)), Start);
+    directory.applySection(change(entry("y", "documents", 2)), Start);
+    const FlowKey flow {{1, 1}, SteeringFleet::RouteAddress};
+    for (const std::uint32_t weightOfKits : {100U, 0U}) {
+        const Findings findings = directory.applySection(
+            SteeringFleet::routeSection({{"kits", weightOfKits}, {"documents", 0}}), Start);
+        const RouteEntry &route = *directory.routeByAddress(SteeringFleet::RouteAddress);
+        // Also long after the change: the service is no former one.
+        directory.expire(Start + Millis(61'000));
+        EXPECT_EQ(directory.possibleOwners(route).list().size(), 2U);
+        const auto service = Directory::serviceFor(route, flow);
+        EXPECT_EQ(service.has_value(), weightOfKits > 0);
+        EXPECT_EQ(service.value_or(ServiceName("kits")), ServiceName("kits"));
+        EXPECT_EQ(findings.size(), weightOfKits > 0 ? 0U : 1U);
+        EXPECT_FALSE(hasErrors(findings));
+    }
+}
+
 TEST(Directory, SplitsNewFlowsByWeight)
 {
     Directory directory;
--- a/tests/unit-steering-flows.cpp
+++ b/tests/unit-steering-flows.cpp
@@ -324,13 +324,18 @@
     fleet.publish(fleet.upstreamSection(2, true));
     fleet.publish(SteeringFleet::domainSection("a"));
     const FlowKey key {Endpoint {1, 1}, SteeringFleet::RouteAddress};
-    std::map<Endpoint, std::string_view> states;
-    for (const FlowCandidate &c : fleet.balancer(0).explain(key, fleet.now()).candidates) {
-        states[c.agent] = c.state;
-    }
-    EXPECT_EQ(states[fleet.upstream(0).agent], "failure domain is out");
-    EXPECT_EQ(states[fleet.upstream(1).agent], "takes flows");
-    EXPECT_EQ(states[fleet.upstream(2).agent], "upstream is leaving");
+    const auto stateOf = [&](std::size_t upstream) {
+        std::map<Endpoint, std::string_view> states;
+        for (const FlowCandidate &c : fleet.balancer(0).explain(key, fleet.now()).candidates) {
+            states[c.agent] = c.state;
+        }
+        return states[fleet.upstream(upstream).agent];
+    };
+    EXPECT_EQ(stateOf(0), "failure domain is out");
+    EXPECT_EQ(stateOf(1), "takes flows");
+    EXPECT_EQ(stateOf(2), "upstream is leaving");
+    fleet.publish(SteeringFleet::routeSection({{"kits", 0}, {"documents", 1}}));
+    EXPECT_EQ(stateOf(1), "route sends no new flows to the service");
     const FlowKey nowhere {key.caller, Endpoint {2, 2}};
     EXPECT_EQ(fleet.balancer(0).explain(nowhere, fleet.now()).stage, "no route");
 }
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -155,3 +155,166 @@
     EXPECT_EQ(fleet.upstream(0).openingTimes.size(), before);
     EXPECT_EQ(countAnswered(fleet, 50), 50U);
 }
+
+namespace {
+
+constexpr double ColdRate = 5;
+
+/// Upstreams 0 to 2 of the service "kits" and, last, one of "documents", which the split of the
+/// route gives every tenth flow.
+struct SplitFleet : SmallFleet
+{
+    SplitFleet()
+        : SmallFleet(ColdRate)
+        , documents(addUpstream("documents", "b"))
+    {
+        setWeights(90, 10);
+        runFor(Millis(3000));
+    }
+
+    void setWeights(std::uint32_t kits, std::uint32_t ofDocuments)
+    {
+        publish(routeSection({{"kits", kits}, {"documents", ofDocuments}}, ColdRate));
+    }
+    /// @brief Opens flows that send no request yet until some of them are open at `documents`.
+    std::vector<std::size_t> openAtDocuments()
+    {
+        std::vector<std::size_t> open;
+        for (int i = 0; i < 100; ++i) {
+            const std::size_t flow = openFlow(0, true);
+            runFor(Millis(5));
+            if (upstreamOf(flow) == documents) {
+                open.push_back(flow);
+            }
+        }
+        return open;
+    }
+    std::size_t openingsAtDocuments() { return upstream(documents).openingTimes.size(); }
+
+    std::size_t documents;
+};
+
+} // namespace
+
+// Guards against agents that hand new flows off to a service whose weight in the route is 0.
+TEST(SteeringWeights, ServiceOfWeightZeroGetsNoFlowsFromAgentsOfColdUpstreams)
+{
+    SplitFleet fleet;
+    fleet.setWeights(100, 0);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fleet.publish(fleet.upstreamSection(i, false, Millis(4000)));
+    }
+    fleet.openFlows(300);
+    EXPECT_EQ(fleet.openingsAtDocuments(), 0U);
+}
+
+// The same fault, with each other reason for which an agent hands a flow off.
+TEST(SteeringWeights, ServiceOfWeightZeroGetsNoFlowsForAnyReason)
+{
+    using Trouble = std::function<void(SplitFleet &, std::size_t upstream)>;
+    const std::pair<const char *, Trouble> troubles[] = {
+        {"silent",
+         [](SplitFleet &f, std::size_t i) {
+             f.upstream(i).unresponsive = true;
+         }},
+        {"refuses",
+         [](SplitFleet &f, std::size_t i) {
+             f.upstream(i).refusesFlows = true;
+         }},
+        {"resets requests",
+         [](SplitFleet &f, std::size_t i) {
+             f.upstream(i).resetsRequests = true;
+         }},
+        {"leaves",
+         [](SplitFleet &f, std::size_t i) {
+             f.publish(f.upstreamSection(i, true));
+         }},
+        {"is full",
+         [](SplitFleet &f, std::size_t i) {
+             f.upstream(i).serviceTime = Millis(2000);
+         }},
+        {"agent stops",
+         [](SplitFleet &f, std::size_t i) {
+             f.agent(i).startDraining(f.now());
+         }},
+    };
+    for (const auto &[name, trouble] : troubles) {
+        SplitFleet fleet;
+        fleet.setWeights(100, 0);
+        for (std::size_t i = 0; i < 3; ++i) {
+            trouble(fleet, i);
+        }
+        fleet.openFlows(200);
+        EXPECT_EQ(fleet.openingsAtDocuments(), 0U) << name;
+    }
+}
+
+TEST(SteeringWeights, ServiceOfWeightZeroGetsNoFlowsFromABalancerWithOutdatedRoutes)
+{
+    SplitFleet fleet;
+    fleet.setWeights(100, 0);
+    fleet.publishAtBalancer(
+        0, SteeringFleet::routeSection({{"kits", 1}, {"documents", 99}}, ColdRate));
+    fleet.openFlows(100);
+    EXPECT_EQ(fleet.openingsAtDocuments(), 0U);
+    EXPECT_EQ(countAnswered(fleet, 100), 100U);
+}
+
+// Flows that wait for a slot are new: they leave the service with its weight.
+TEST(SteeringWeights, QueuedFlowsLeaveAServiceThatGetsTheWeightZero)
+{
+    SplitFleet fleet;
+    fleet.setWeights(0, 1);
+    fleet.upstream(fleet.documents).serviceTime = Millis(1000);
+    for (std::size_t i = 0; i < 12; ++i) {
+        fleet.openFlow(0);
+    }
+    fleet.runFor(Millis(100));
+    const std::size_t before = fleet.openingsAtDocuments();
+    EXPECT_LT(before, 12U);
+    fleet.setWeights(1, 0);
+    fleet.runFor(Millis(3000));
+    EXPECT_EQ(fleet.openingsAtDocuments(), before);
+    EXPECT_EQ(countAnswered(fleet, 12), 12U);
+}
+
+TEST(SteeringWeights, OpenFlowsOfAServiceThatGetsTheWeightZeroLiveOn)
+{
+    for (const std::uint32_t weightOfKits : {100U, 0U}) {
+        SplitFleet fleet;
+        const std::vector<std::size_t> open = fleet.openAtDocuments();
+        ASSERT_FALSE(open.empty());
+        fleet.setWeights(weightOfKits, 0);
+        fleet.runFor(Millis(5000));
+        // Processes that know the flows no more find their owner.
+        fleet.restartBalancer(0);
+        fleet.restartAgent(fleet.documents, true);
+        fleet.runFor(Millis(3000));
+        for (const std::size_t flow : open) {
+            fleet.sendRequest(flow);
+        }
+        fleet.runFor(Millis(1000));
+        for (const std::size_t flow : open) {
+            EXPECT_TRUE(fleet.flow(flow).answered);
+            EXPECT_FALSE(fleet.flow(flow).wasReset);
+        }
+    }
+}
+
+// Guards against flows that wait for a service although none is to get them.
+TEST(SteeringWeights, NewFlowsAreRejectedAtOnceIfAllWeightsAreZero)
+{
+    SplitFleet fleet;
+    fleet.setWeights(0, 0);
+    // A balancer that has not settled yet holds flows whose service may still announce upstreams.
+    fleet.restartBalancer(0);
+    const std::size_t rejected = fleet.openFlow(0);
+    fleet.runFor(Millis(10));
+    EXPECT_TRUE(fleet.flow(rejected).wasReset);
+    EXPECT_EQ(fleet.openingsAtDocuments(), 0U);
+    fleet.setWeights(0, 1);
+    fleet.runFor(Millis(3000));
+    fleet.openFlows(20);
+    EXPECT_EQ(countAnswered(fleet, 21), 20U);
+    EXPECT_EQ(fleet.openingsAtDocuments(), 20U);
+}
