Apply routes although a figure beside them makes no sense

A negative idle_timeout_ms or target_latency_ms, a fraction of a priority, a fraction of a weight, or any of these and cold_per_s as text, true or null rejected the whole version. Changes of all customers were then not in force, and a process that started had no routes at all. An idle_timeout_ms below 1 became 0, with which flows count as idle at once. The finding was a syntax error of the text that stands for an item that cannot be translated, not the reason.

A weight that makes no sense still rejects the version, since nothing says where its flows should go; its finding states the reason.

--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -186,8 +186,10 @@
     };
 
     Findings applyRoutes(const SectionChange &change, Instant now);
-    /// @brief One warning for each route whose weights are all 0.
-    [[nodiscard]] Findings weightFindings(const SectionName &section) const;
+    /// @brief One warning for each remark of the document and for each route whose weights are all
+    /// 0.
+    [[nodiscard]] Findings routeFindings(const RouteDocument &document,
+                                         const SectionName &section) const;
     void applyFlowIdleTimeout(const RouteDocument &document, Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change, Instant now);
--- a/include/bergamotglade/detail/steering/entries.hpp
+++ b/include/bergamotglade/detail/steering/entries.hpp
@@ -47,8 +47,13 @@
     std::vector<ServicePolicy> services;
     /// A flow that has been idle for longer may be forgotten; absent if none is configured.
     std::optional<Millis> flowIdleTimeout;
+    /// Problems found while the document was translated that do not make it invalid.
+    std::vector<std::string> remarks;
 };
 
+/// Begins the text of a section whose source could not be translated; the reason follows.
+inline constexpr std::string_view UntranslatedPrefix = "unreadable item: ";
+
 /// Longest duration that an entry may state.
 inline constexpr Millis EntryDurationMax = std::chrono::hours(24);
 
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -17,8 +17,10 @@
 
 Finding sectionFinding(const SectionChange &change, const Error &error)
 {
+    // The reason of a failed translation says more than that its text cannot be decoded.
     return {FindingCode::WrongType, Severity::Error,
-            SourceLocation {change.name.str(), change.name.str(), 0, 0}, describe(error)};
+            SourceLocation {change.name.str(), change.name.str(), 0, 0},
+            change.text.starts_with(UntranslatedPrefix) ? change.text : describe(error)};
 }
 
 std::uint64_t totalWeight(const RouteEntry &route)
@@ -107,18 +109,24 @@
         m_mayLackFormerServices = !m_settings.isFirstStart;
     }
     m_version = document.value().version;
-    return weightFindings(change.name);
+    return routeFindings(document.value(), change.name);
 }
 
-Findings Directory::weightFindings(const SectionName &section) const
+Findings Directory::routeFindings(const RouteDocument &document, const SectionName &section) const
 {
+    const auto warning = [&](FindingCode code, std::string text) {
+        return Finding {code, Severity::Warning,
+                        SourceLocation {section.str(), section.str(), 0, 0}, std::move(text)};
+    };
     Findings findings;
+    for (const std::string &remark : document.remarks) {
+        findings.push_back(warning(FindingCode::WrongType, remark));
+    }
     for (const auto &[address, route] : m_routes) {
         if (totalWeight(route) == 0) {
             findings.push_back(
-                {FindingCode::ZeroWeight, Severity::Warning,
-                 SourceLocation {section.str(), section.str(), 0, 0},
-                 "route " + address.str() + " gets no new flows: all its weights are 0"});
+                warning(FindingCode::ZeroWeight,
+                        "route " + address.str() + " gets no new flows: all its weights are 0"));
         }
     }
     return findings;
--- a/src/steering/entries.cpp
+++ b/src/steering/entries.cpp
@@ -50,6 +50,9 @@
     if (document.flowIdleTimeout) {
         root["flow_idle_ms"] = document.flowIdleTimeout->count();
     }
+    if (!document.remarks.empty()) {
+        root["remarks"] = document.remarks;
+    }
     return root.dump();
 }
 
@@ -86,6 +89,9 @@
         if (root.contains("flow_idle_ms")) {
             document.flowIdleTimeout = durationAt(root, "flow_idle_ms");
         }
+        if (root.contains("remarks")) {
+            document.remarks = root.at("remarks").get<std::vector<std::string>>();
+        }
         return document;
     });
 }
