Apply a changed flow lifetime to running processes

After a change of flow_max, processes that were not restarted went on with the former one: with 60 s raised to 120 s and an idle timeout of 100 s, an agent would forget flows that are idle for 61 s, and former services and departed upstreams would be searched for too briefly.

Change: flow_max is reread at SIGHUP, like link_mbps, by both daemons. What the directory remembers by then is kept for the new lifetime. The new log line is `flow lifetime changed`.

Test: Directory.ChangedFlowLifetimeCountsForWhatIsRemembered, of a function that did not exist before.

--- a/include/bergamotglade/detail/steering/agent_steering.hpp
+++ b/include/bergamotglade/detail/steering/agent_steering.hpp
@@ -236,6 +236,10 @@
     }
     /// @brief Stops accepting new flows.
     void startDraining(Instant now);
+    /// @brief Changes AgentSteeringSettings::flowLifetimeMax. The directory has its own, see
+    /// Directory::setFlowLifetimeMax().
+    /// @param lifetime positive
+    void setFlowLifetimeMax(Millis lifetime);
 
     /// @brief Number of queued and active flows that would be cut if the process ended now.
     [[nodiscard]] std::size_t activeFlowCount(Instant now) const;
--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -81,6 +81,10 @@
     /// Ignored once the directory has settled, because no entries are missing from then on.
     /// @return whether the directory changed
     bool announce(const Announcement &announcement, Instant now);
+    /// @brief Changes DirectorySettings::flowLifetimeMax; also counts for what is remembered by
+    /// now.
+    /// @param lifetime positive
+    void setFlowLifetimeMax(Millis lifetime, Instant now);
     /// @brief Whether the entries are complete, so that an upstream without an entry is gone.
     [[nodiscard]] bool isSettled(Instant now) const;
     /// @brief Removes announced upstreams once settled, and lapsed entries, former services and
@@ -141,7 +145,7 @@
     [[nodiscard]] double coldFlowRate(const ServiceName &service) const;
     /// @brief Idle time after which the owner of a flow may forget it: the longest that was
     /// configured within the lifetime of a flow, so that two changes in quick succession end no
-    /// flow. At most DirectorySettings::flowLifetimeMax.
+    /// flow. At most the lifetime of a flow, as long as that is not lowered.
     [[nodiscard]] Millis flowIdleTimeout() const;
     [[nodiscard]] bool isOut(const FailureDomainId &domain) const { return m_view.isOut(domain); }
     [[nodiscard]] bool hasRoutes() const noexcept { return m_version.has_value(); }
@@ -190,7 +194,7 @@
     /// 0.
     [[nodiscard]] Findings routeFindings(const RouteDocument &document,
                                          const SectionName &section) const;
-    void applyFlowIdleTimeout(const RouteDocument &document, Instant now);
+    void applyFlowIdleTimeout(Instant now);
     Findings applyUpstream(const SectionChange &change, Instant now);
     void applyDomain(const SectionChange &change, Instant now);
     /// @brief Whether the incarnation of an entry is known to be leaving or to have left.
@@ -237,7 +241,8 @@
     std::unordered_map<Endpoint, std::vector<FormerService>> m_formerServices;
     std::unordered_map<ServiceName, double> m_coldFlowRates;
     std::unordered_set<ServiceName> m_namedServices; ///< services of the configuration
-    Millis m_flowIdleTimeout; ///< as configured now
+    std::optional<Millis> m_configuredIdleTimeout;
+    Millis m_flowIdleTimeout; ///< in force now
     std::vector<FormerIdleTimeout> m_formerIdleTimeouts; ///< longer ones
     std::map<UpstreamId, KnownUpstream> m_upstreams;
     /// Entries whose agents are used by upstreams with better claims. Entries of other writers may
--- a/include/bergamotglade/detail/steering/owner_search.hpp
+++ b/include/bergamotglade/detail/steering/owner_search.hpp
@@ -113,6 +113,9 @@
 public:
     OwnerSearch(const OwnerSearchSettings &settings, OwnerSearchHooks hooks);
 
+    /// @brief Changes OwnerSearchSettings::locationTtl.
+    void setLocationTtl(Millis ttl) { m_settings.locationTtl = ttl; }
+
     /// @brief Handles a packet of a flow that this agent does not own.
     /// @param origin process that sent the packet; it is told the owner
     /// @param isDenied the own upstream is known not to hold the flow
--- a/src/daemon/steering_agent.cpp
+++ b/src/daemon/steering_agent.cpp
@@ -48,13 +48,28 @@
             return m_steering->activeFlowCount(Clock::now()) == 0;
         };
         hooks.onReload = [this] {
-            m_process.reload(loadAgentSettings(m_settingsPath, *m_settings.steering));
+            reload();
         };
         m_process.setHooks(std::move(hooks));
         return m_process.run();
     }
 
 private:
+    void reload()
+    {
+        const auto checked = loadAgentSettings(m_settingsPath, *m_settings.steering);
+        m_process.reload(checked);
+        if (!checked.value || !checked.value->steering) {
+            return;
+        }
+        // A restart of the role uses it as well.
+        m_settings.steering->flowMax = checked.value->steering->flowMax;
+        if (m_steering) {
+            m_runtime->setFlowLifetimeMax(m_settings.steering->flowMax, Clock::now());
+            m_steering->setFlowLifetimeMax(m_settings.steering->flowMax);
+        }
+    }
+
     Result<void> start()
     {
         SteeringRuntimeHooks hooks;
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -67,10 +67,12 @@
         if (linkMbps != m_settings.steering->linkMbps) {
             logEvent("link rate changed", {{"link_mbps", linkMbps}});
         }
-        // A restart of the role uses the rate as well.
+        // A restart of the role uses both figures as well.
         m_settings.steering->linkMbps = linkMbps;
+        m_settings.steering->flowMax = checked.value->steering->flowMax;
         if (m_steering) {
             m_steering->setLinkRate(linkMbps, Clock::now());
+            m_runtime->setFlowLifetimeMax(m_settings.steering->flowMax, Clock::now());
         }
     }
 
--- a/src/daemon/steering_runtime.cpp
+++ b/src/daemon/steering_runtime.cpp
@@ -116,6 +116,16 @@
     return boost::outcome_v2::success();
 }
 
+void SteeringRuntime::setFlowLifetimeMax(Millis lifetime, Instant now)
+{
+    if (lifetime == m_steering.flowMax) {
+        return;
+    }
+    m_steering.flowMax = lifetime;
+    m_directory.setFlowLifetimeMax(lifetime, now);
+    logEvent("flow lifetime changed", {{"flow_max_ms", lifetime.count()}});
+}
+
 ControlPlaneHooks SteeringRuntime::controlHooks()
 {
     ControlPlaneHooks hooks;
--- a/src/daemon/steering_runtime.hpp
+++ b/src/daemon/steering_runtime.hpp
@@ -63,6 +63,8 @@
     {
         return m_plane->dissemination().isConfirmedSince(since, now);
     }
+    /// @brief Applies a changed maximum lifetime of a flow.
+    void setFlowLifetimeMax(Millis lifetime, Instant now);
     void addUnroutedMetrics(const UnroutedFlowsCounters &counters);
     void sendPacket(const Endpoint &to, std::string_view bytes);
     /// @brief Sends a packet to the address of a caller. The port is the packet port of this
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -110,6 +110,12 @@
     return targets;
 }
 
+void AgentSteering::setFlowLifetimeMax(Millis lifetime)
+{
+    m_settings.flowLifetimeMax = lifetime;
+    m_search.setLocationTtl(lifetime);
+}
+
 void AgentSteering::startDraining(Instant now)
 {
     m_draining = true;
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -103,7 +103,8 @@
         }
     }
     reviewClaims(now);
-    applyFlowIdleTimeout(document.value(), now);
+    m_configuredIdleTimeout = document.value().flowIdleTimeout;
+    applyFlowIdleTimeout(now);
     if (!m_version) {
         m_firstRoutesAt = now;
         m_mayLackFormerServices = !m_settings.isFirstStart;
@@ -132,10 +133,40 @@
     return findings;
 }
 
-void Directory::applyFlowIdleTimeout(const RouteDocument &document, Instant now)
+void Directory::setFlowLifetimeMax(Millis lifetime, Instant now)
+{
+    const Millis difference = lifetime - m_settings.flowLifetimeMax;
+    if (difference == Millis(0)) {
+        return;
+    }
+    m_settings.flowLifetimeMax = lifetime;
+    // What has been forgotten already stays so: its flows were older than the former maximum.
+    for (auto &[address, until] : m_droppedRoutes) {
+        until += difference;
+    }
+    for (auto &[address, former] : m_formerServices) {
+        for (FormerService &service : former) {
+            service.until += difference;
+        }
+    }
+    for (DepartedUpstream &departed : m_departed) {
+        departed.until += difference;
+    }
+    for (auto &[route, agents] : m_ownersOfOthers) {
+        for (auto &[agent, until] : agents) {
+            until += difference;
+        }
+    }
+    for (FormerIdleTimeout &former : m_formerIdleTimeouts) {
+        former.until += difference;
+    }
+    applyFlowIdleTimeout(now);
+}
+
+void Directory::applyFlowIdleTimeout(Instant now)
 {
     // Without a configured timeout, flows are kept for their whole lifetime.
-    const Millis timeout = std::min(document.flowIdleTimeout.value_or(m_settings.flowLifetimeMax),
+    const Millis timeout = std::min(m_configuredIdleTimeout.value_or(m_settings.flowLifetimeMax),
                                     m_settings.flowLifetimeMax);
     if (m_version && timeout < m_flowIdleTimeout) {
         m_formerIdleTimeouts.push_back({m_flowIdleTimeout, now + m_settings.flowLifetimeMax});
--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -340,6 +340,36 @@
     EXPECT_EQ(directory.possibleOwners(route).list().size(), 1U);
 }
 
+// Guards against processes that go on with the flow lifetime of their start after it was changed:
+// they forgot flows, and where else to search for them, too early.
+TEST(Directory, ChangedFlowLifetimeCountsForWhatIsRemembered)
+{
+    Directory directory;
+    directory.applySection(change(entry("x", "kits", 1)), Start);
+    directory.applySection(change(entry("y", "documents", 2)), Start);
+    RouteDocument routes = decodeRoutes(SteeringFleet::routeSection({{"kits", 1}}).text).value();
+    routes.flowIdleTimeout = Millis(100'000);
+    directory.applySection({RootName, Revision(1), encode(routes)}, Start);
+    routes.routes[0].services = {{ServiceName("documents"), Weight(1)}};
+    directory.applySection({RootName, Revision(2), encode(routes)}, Start);
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(60'000));
+    directory.setFlowLifetimeMax(Millis(120'000), Start + Millis(1000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(100'000));
+    const auto owners = [&](std::int64_t second) {
+        directory.expire(Start + Millis(second * 1000));
+        return directory.possibleOwners(*directory.routeByAddress(SteeringFleet::RouteAddress))
+            .list()
+            .size();
+    };
+    EXPECT_EQ(owners(119), 2U);
+    EXPECT_EQ(owners(121), 1U);
+    // Flows that are idle at the change keep the longer timeout, as after a change of the limit.
+    directory.setFlowLifetimeMax(Millis(30'000), Start + Millis(121'000));
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(100'000));
+    (void)owners(152);
+    EXPECT_EQ(directory.flowIdleTimeout(), Millis(30'000));
+}
+
 TEST(Directory, ServiceOfWeightZeroIsSearchedButGetsNoNewFlows)
 {
     DirectorySettings settings;
