--- a/src/daemon/agent.cpp
+++ b/src/daemon/agent.cpp
@@ -24,7 +24,7 @@
     AgentDaemon(AgentDaemonSettings settings, std::string settingsPath)
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
-        , m_process(m_settings.common.stopTimeout)
+        , m_process(m_settingsPath, m_settings.common.stopTimeout)
         , m_upstreamClient(m_process.io())
     { }
 
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-Process::Process(Millis stopTimeout, Millis tickInterval)
+Process::Process(std::string settingsPath, Millis stopTimeout, Millis tickInterval)
     : m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_timer(m_io)
     , m_supervisor("root", {},
@@ -21,6 +21,7 @@
                        logError("unrecoverable failure, exiting: " + reason);
                        exitWith(ExitCode::Failed);
                    })
+    , m_settingsWatch(std::move(settingsPath))
     , m_stopTimeout(stopTimeout)
     , m_tickInterval(tickInterval)
 { }
@@ -57,6 +58,9 @@
         }
         scheduleTick();
         const Instant now = Clock::now();
+        if (m_settingsWatch.hasChanged(now)) {
+            m_hooks.onReload();
+        }
         m_hooks.onTick(now);
         if (m_stopDeadline == Instant()) {
             return;
@@ -83,6 +87,7 @@
 void Process::onSignal(int signal)
 {
     if (signal == SIGHUP) {
+        m_settingsWatch.accept();
         m_hooks.onReload();
         return;
     }
--- a/src/daemon/process.hpp
+++ b/src/daemon/process.hpp
@@ -4,6 +4,7 @@
 
 #include <bergamotglade/detail/daemon/daemon.hpp>
 #include <bergamotglade/detail/daemon/settings.hpp>
+#include <bergamotglade/detail/daemon/settings_watch.hpp>
 #include <bergamotglade/detail/daemon/supervisor.hpp>
 
 #include <utility>
@@ -34,7 +35,7 @@
     std::function<void(Instant)> onStop;
     /// Whether the graceful stop has no work left to wait for.
     std::function<bool()> isStopComplete;
-    /// Reloads the settings on SIGHUP.
+    /// Reloads the settings on SIGHUP, or when their file has changed.
     std::function<void()> onReload;
 };
 
@@ -43,7 +44,8 @@
 class Process
 {
 public:
-    explicit Process(Millis stopTimeout, Millis tickInterval = TickInterval);
+    explicit Process(std::string settingsPath, Millis stopTimeout,
+                     Millis tickInterval = TickInterval);
 
     [[nodiscard]] boost::asio::io_context &io() noexcept { return m_io; }
     /// @brief Sets the callbacks of the role and adds it to the supervisor.
@@ -72,6 +74,7 @@
     boost::asio::steady_timer m_timer;
     Supervisor m_supervisor;
     ProcessHooks m_hooks;
+    SettingsWatch m_settingsWatch;
     Millis m_stopTimeout;
     Millis m_tickInterval;
     Instant m_stopDeadline; ///< default value until the first stop signal
--- a/src/daemon/steering_balancer.cpp
+++ b/src/daemon/steering_balancer.cpp
@@ -24,7 +24,7 @@
         : m_settings(std::move(settings))
         , m_settingsPath(std::move(settingsPath))
         , m_adapter(adapter)
-        , m_process(m_settings.common.stopTimeout, SteeringTickInterval)
+        , m_process(m_settingsPath, m_settings.common.stopTimeout, SteeringTickInterval)
     { }
 
     ExitCode run()
--- a/tests/unit-document.cpp
+++ b/tests/unit-document.cpp
@@ -4,6 +4,7 @@
 #include <bergamotglade/detail/cli/explain.hpp>
 #include <bergamotglade/detail/config/yaml_map.hpp>
 #include <bergamotglade/detail/daemon/settings.hpp>
+#include <bergamotglade/detail/daemon/settings_watch.hpp>
 
 #include <cstdio>
 #include <filesystem>
@@ -290,6 +291,29 @@
     EXPECT_EQ(unfilled.findings.size(), 1U);
 }
 
+// Guards against running processes that go on with settings that the platform has replaced.
+TEST(SettingsWatch, NoticesAChangeWithoutASignalOnce)
+{
+    const TemporaryDirectory directory;
+    SettingsWatch watch(directory.write("a.yaml", "flow_max: 60s\n"));
+    Instant now {Millis(1000)};
+    const auto changesAfter = [&](Millis time) {
+        now += time;
+        return watch.hasChanged(now);
+    };
+    EXPECT_FALSE(changesAfter(Millis(0)));
+    (void)directory.write("a.yaml", "flow_max: 62.5s\n");
+    EXPECT_FALSE(changesAfter(SettingsWatch::Interval - Millis(1)));
+    EXPECT_TRUE(changesAfter(Millis(1)));
+    EXPECT_FALSE(changesAfter(SettingsWatch::Interval));
+    // A signal has made the process read the file.
+    (void)directory.write("a.yaml", "flow_max: 90s\n");
+    watch.accept();
+    EXPECT_FALSE(changesAfter(SettingsWatch::Interval));
+    std::filesystem::remove(directory.path() + "/a.yaml");
+    EXPECT_FALSE(changesAfter(SettingsWatch::Interval));
+}
+
 // The settings of agents are rendered from the same template as those of balancers.
 TEST(Settings, RateOfTheLinkIsReadByBothDaemons)
 {
