Hand new flows off to warm upstreams first

Cause: the agent of a cold upstream hands each flow beyond its rate off to the less loaded of two random agents. Cold upstreams have the least load, so their agents are chosen often, and each hands the flow off again, until the hop limit resets it.

Change: hand-off prefers agents whose upstreams are not cold, then those with free slots. Without a warm one it is as before.

--- a/include/bergamotglade/detail/steering/directory.hpp
+++ b/include/bergamotglade/detail/steering/directory.hpp
@@ -143,6 +143,8 @@
                                        const RouteEntry &route) const;
     /// @brief New flows per second that a cold upstream of the service accepts; 0 means no limit.
     [[nodiscard]] double coldFlowRate(const ServiceName &service) const;
+    /// @brief Whether the upstream is cold, so that coldFlowRate() limits its new flows.
+    [[nodiscard]] bool isCold(const KnownUpstream &upstream, Instant now) const;
     /// @brief Idle time after which the owner of a flow may forget it: the longest that was
     /// configured within the lifetime of a flow, so that two changes in quick succession end no
     /// flow. At most the lifetime of a flow, as long as that is not lowered.
--- a/src/steering/agent_steering.cpp
+++ b/src/steering/agent_steering.cpp
@@ -250,14 +250,20 @@
     } else if (route != nullptr && trail.hops < m_settings.openingHopsMax) {
         others = otherAcceptingAgents(*route);
     }
-    // Agents with free slots are preferred; if there are none, any agent may be chosen.
-    const auto firstFull =
-        std::stable_partition(others.begin(), others.end(), [&](const Endpoint &agent) {
-            return m_peerLoads.estimate(agent, now).utilization() <= 1;
-        });
-    if (firstFull != others.begin()) {
-        others.erase(firstFull, others.end());
-    }
+    const auto prefer = [&](const std::function<bool(const Endpoint &)> &isPreferred) {
+        const auto rest = std::stable_partition(others.begin(), others.end(), isPreferred);
+        if (rest != others.begin()) {
+            others.erase(rest, others.end());
+        }
+    };
+    // An agent whose upstream is cold as well would hand most flows off again, up to the hop limit.
+    prefer([&](const Endpoint &agent) {
+        const KnownUpstream *upstream = m_directory.upstreamByAgent(agent);
+        return upstream != nullptr && !m_directory.isCold(*upstream, now);
+    });
+    // Agents with free slots; if there are none, any agent may be chosen.
+    prefer(
+        [&](const Endpoint &agent) { return m_peerLoads.estimate(agent, now).utilization() <= 1; });
     // The less loaded of two random agents: if all agents chose the least loaded one, it would get
     // every flow that is handed off.
     const Endpoint *best = nullptr;
--- a/src/steering/directory.cpp
+++ b/src/steering/directory.cpp
@@ -400,6 +400,11 @@
     return !upstream.entry.leaving && !m_view.isOut(upstream.entry.domain);
 }
 
+bool Directory::isCold(const KnownUpstream &upstream, Instant now) const
+{
+    return now < upstream.coldUntil && coldFlowRate(upstream.entry.service) > 0;
+}
+
 double Directory::coldFlowRate(const ServiceName &service) const
 {
     const auto found = m_coldFlowRates.find(service);
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -119,6 +119,20 @@
     EXPECT_EQ(fleet.resetCount(), 0U);
 }
 
+// Guards against flows that agents of cold upstreams hand to each other until they are reset,
+// although another upstream has room.
+TEST(SteeringCold, FlowsBeyondTheRateGoToWarmUpstreams)
+{
+    constexpr double Rate = 5;
+    SmallFleet fleet(Rate, 6);
+    for (std::size_t i = 0; i < 4; ++i) {
+        fleet.publish(fleet.upstreamSection(i, false, Millis(4000)));
+    }
+    fleet.openFlows(400);
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, 400), 400U);
+}
+
 TEST(SteeringStart, HeldFlowsArePlacedOnceRoutesAndAnnouncementsArrive)
 {
     SteeringFleet fleet;
