Read decimal fractions of durations exactly

1.1s became 1101 ms, because the product with 1000 is a little over 1100 and fractions of milliseconds are rounded up.

Test: Duration.ParsesUnitsAndRejectsInvalidText, with 1.1s.

--- a/src/config/yaml_map.cpp
+++ b/src/config/yaml_map.cpp
@@ -69,7 +69,10 @@
     const std::string_view unit(next, static_cast<std::size_t>(end - next));
     for (const Unit &known : Units) {
         if (unit == known.name) {
-            return Millis(static_cast<std::int64_t>(std::ceil(count * known.millis)));
+            // The product of a decimal fraction, such as 1.1 s, may be a little too large.
+            constexpr double Inexactness = 1e-6;
+            const double millis = std::ceil(count * known.millis - Inexactness);
+            return Millis(static_cast<std::int64_t>(std::max(millis, 0.0)));
         }
     }
     return std::nullopt;
--- a/tests/unit-document.cpp
+++ b/tests/unit-document.cpp
@@ -331,7 +331,9 @@
     EXPECT_EQ(parseDuration("11s"), Millis(11'000));
     EXPECT_EQ(parseDuration("30d"), Millis(2'592'000'000));
     EXPECT_EQ(parseDuration("1.5s"), Millis(1500));
+    EXPECT_EQ(parseDuration("1.1s"), Millis(1100));
     EXPECT_EQ(parseDuration("0.1ms"), Millis(1));
+    EXPECT_EQ(parseDuration("0s"), Millis(0));
     for (const char *bad : {"", "5", "-1s", "-0.5s", "1.5.2s", "1,5s", "3 s", "9999999999s",
                             "1000000.5s", "1e400s", "0x10s", "nans", "infs", "s"}) {
         EXPECT_FALSE(parseDuration(bad)) << bad;
