Let flows of a full upstream wait rather than move to cold ones

Callers of a service with few warm upstreams were reset although their turn would have come in time.

An agent whose upstream is full hands new flows off to a less loaded peer, and a cold upstream always looks less loaded. Its agent hands the flow back beyond its rate, until the hop limit resets it.

Change: an upstream that is cold is no less loaded peer. Balancers go on to give it its rate.

--- a/src/steering/agent_queue.cpp
+++ b/src/steering/agent_queue.cpp
@@ -39,7 +39,7 @@
     return m_peerLoads.findLessLoadedPeer(own, now, [&](const Endpoint &agent) {
         const KnownUpstream *peer = m_directory.upstreamByAgent(agent);
         if (agent == m_settings.self || peer == nullptr
-            || !m_directory.acceptsNewFlows(*peer, route)
+            || !m_directory.acceptsNewFlows(*peer, route) || m_directory.isCold(*peer, now)
             || m_peerLoads.reportAgeOf(agent, now) > m_settings.handOffReportAgeMax) {
             return false;
         }
--- a/tests/unit-steering-rules.cpp
+++ b/tests/unit-steering-rules.cpp
@@ -133,6 +133,23 @@
     EXPECT_EQ(countAnswered(fleet, 400), 400U);
 }
 
+// The same fault, from an agent whose upstream is full.
+TEST(SteeringCold, FlowsOfAFullUpstreamWaitThereIfTheOthersAreCold)
+{
+    SmallFleet fleet(1, 3);
+    fleet.publish(fleet.upstreamSection(1, false, Millis(4000)));
+    fleet.publish(fleet.upstreamSection(2, false, Millis(4000)));
+    for (int burst = 0; burst < 10; ++burst) {
+        for (int i = 0; i < 12; ++i) {
+            fleet.openFlow(0);
+        }
+        fleet.runFor(Millis(200));
+    }
+    fleet.runFor(Millis(500));
+    EXPECT_EQ(fleet.resetCount(), 0U);
+    EXPECT_EQ(countAnswered(fleet, 120), 120U);
+}
+
 TEST(SteeringStart, HeldFlowsArePlacedOnceRoutesAndAnnouncementsArrive)
 {
     SteeringFleet fleet;
