Let the test of changed flow lifetimes fail without the change

Directory.ChangedFlowLifetimeCountsForWhatIsRemembered stayed green with the row of mutations.txt that disables the change: its directory was not of a first start, so the agents of all services counted as possible owners for the new lifetime anyway. It is now stricter.

--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -344,7 +344,10 @@
 // they forgot flows, and where else to search for them, too early.
 TEST(Directory, ChangedFlowLifetimeCountsForWhatIsRemembered)
 {
-    Directory directory;
+    // Else the agents of all services would count as possible owners for the lifetime of a flow.
+    DirectorySettings settings;
+    settings.isFirstStart = true;
+    Directory directory(settings);
     directory.applySection(change(entry("x", "kits", 1)), Start);
     directory.applySection(change(entry("y", "documents", 2)), Start);
     RouteDocument routes = decodeRoutes(SteeringFleet::routeSection({{"kits", 1}}).text).value();
