--- a/tests/unit-steering-directory.cpp
+++ b/tests/unit-steering-directory.cpp
@@ -340,14 +340,24 @@
     EXPECT_EQ(directory.possibleOwners(route).list().size(), 1U);
 }
 
+namespace {
+
+/// Settings with which only the agents of a route's own services, and of its former ones, count as
+/// possible owners; else those of all services do for the lifetime of a flow.
+DirectorySettings firstStart()
+{
+    DirectorySettings settings;
+    settings.isFirstStart = true;
+    return settings;
+}
+
+} // namespace
+
 // Guards against processes that go on with the flow lifetime of their start after it was changed:
 // they forgot flows, and where else to search for them, too early.
 TEST(Directory, ChangedFlowLifetimeCountsForWhatIsRemembered)
 {
-    // Else the agents of all services would count as possible owners for the lifetime of a flow.
-    DirectorySettings settings;
-    settings.isFirstStart = true;
-    Directory directory(settings);
+    Directory directory(firstStart());
     directory.applySection(change(entry("x", "kits", 1)), Start);
     directory.applySection(change(entry("y", "documents", 2)), Start);
     RouteDocument routes = decodeRoutes(SteeringFleet::routeSection({{"kits", 1}}).text).value();
@@ -375,9 +385,7 @@
 
 TEST(Directory, ServiceOfWeightZeroIsSearchedButGetsNoNewFlows)
 {
-    DirectorySettings settings;
-    settings.isFirstStart = true;
-    Directory directory(settings);
+    Directory directory(firstStart());
     directory.applySection(change(entry("x", "kits", 1)), Start);
     directory.applySection(change(entry("y", "documents", 2)), Start);
     const FlowKey flow {{1, 1}, SteeringFleet::RouteAddress};
